--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,6 @@
+import tseslint from 'typescript-eslint';
+
+export default tseslint.config(
+  { ignores: ['**/dist/**', 'target/**', 'node_modules/**', 'journal/**'] },
+  ...tseslint.configs.recommended,
+);
--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,3 @@
+import { runCli } from './cli.js';
+
+void runCli(process.argv);
--- /dev/null
+++ b/packages/controller/src/catalog.ts
@@ -0,0 +1,71 @@
+import { CATALOG_PATH, parseCatalog, type MachineType } from '@tealdock/wire';
+import { CATALOG_PREFIX, typeKey } from './keys.js';
+import type { Leadership } from './leadership.js';
+import { PRIORITY } from './ports.js';
+import type { Runtime } from './runtime.js';
+import { attempt, type StateStore } from './state-store.js';
+
+const REFRESH = 30_000;
+const RETRY = 2000;
+const TIMEOUT = 2500;
+
+/**
+ * Machine types as the cloud last told them. The leader keeps them in the state
+ * service, so that a cloud outage at start does not stop acceptance.
+ */
+export class Catalog {
+  types: MachineType[] = [];
+  private stored = '';
+
+  constructor(
+    private readonly rt: Runtime,
+    private readonly state: StateStore,
+    private readonly leadership: Leadership,
+  ) {}
+
+  get known(): boolean {
+    return this.types.length > 0;
+  }
+
+  start(): void {
+    this.readStored();
+    this.refresh();
+  }
+
+  private refresh(): void {
+    const call = {
+      target: 'cloud' as const,
+      to: '',
+      method: 'GET',
+      path: CATALOG_PATH,
+      body: null,
+    };
+    this.rt.call({ ...call, priority: PRIORITY.background, writes: 0, timeout: TIMEOUT }, (r) => {
+      const types =
+        r.kind === 'answer' && r.status === 200 ? attempt(() => parseCatalog(r.body)) : null;
+      if (types && types.length > 0) this.take(types);
+      this.rt.after(types ? REFRESH : RETRY, () => this.refresh());
+    });
+  }
+
+  private take(types: MachineType[]): void {
+    this.types = types;
+    if (!this.leadership.held()) return;
+    // Prices move all the time; only a change of what is offered is kept.
+    const shape = types.map((t) => `${t.name}:${t.cpus}:${t.memoryGb}:${t.zones.join()}`).join();
+    if (shape === this.stored) return;
+    const most = this.rt.settings.state.txnOps;
+    const writes = types.slice(0, most).map((t) => ({ put: typeKey(t.name), value: t }));
+    this.state.commit([this.leadership.guard()], writes, PRIORITY.background, (committed) => {
+      if (committed.kind === 'ok') this.stored = shape;
+    });
+  }
+
+  private readStored(): void {
+    this.state.readAll(CATALOG_PREFIX, PRIORITY.leader, (all) => {
+      if (this.known) return;
+      if (!all || all.items.length === 0) return this.rt.after(RETRY, () => this.readStored());
+      this.types = all.items.map((i) => i.value as MachineType);
+    });
+  }
+}
--- /dev/null
+++ b/packages/controller/src/controller.ts
@@ -0,0 +1,187 @@
+import {
+  REPORT_PATH,
+  WireError,
+  parseReport,
+  renderRedirect,
+  renderReportAnswer,
+  unpackBody,
+  type Instant,
+  type WorkerReport,
+} from '@tealdock/wire';
+import { Catalog } from './catalog.js';
+import { Completer } from './completer.js';
+import { FleetKeeper } from './fleet-keeper.js';
+import { Leadership } from './leadership.js';
+import { Peers } from './peers.js';
+import { Placer } from './placer.js';
+import type { Command, Effect } from './ports.js';
+import { Requests } from './requests.js';
+import { Runtime, type Environment } from './runtime.js';
+import { StateStore } from './state-store.js';
+import { Term } from './term.js';
+
+const HEALTH_PATH = '/healthz';
+/** A new node is healthy once it can judge submissions, or after this long anyway. */
+const START_PATIENCE = 6000;
+const CHECK_EVERY = 1000;
+/** A term is given this long to hear its first reports. */
+const DEAF_GRACE = 12_000;
+
+type Request = Extract<Command, { kind: 'request' }>;
+
+/**
+ * The one owner of all state of a process. Commands come in batches through
+ * `process`; what is to be done outside goes out as effects.
+ */
+export class Controller {
+  private readonly rt: Runtime;
+  private readonly state: StateStore;
+  private readonly leadership: Leadership;
+  private readonly catalog: Catalog;
+  private readonly peers: Peers;
+  private readonly requests: Requests;
+  private term: Term | null = null;
+  private startedAt: Instant | null = null;
+
+  constructor(env: Environment) {
+    this.rt = new Runtime(env);
+    this.state = new StateStore(this.rt);
+    this.leadership = new Leadership(
+      this.rt,
+      this.state,
+      (token) => this.begin(token),
+      () => this.endTerm(),
+    );
+    this.catalog = new Catalog(this.rt, this.state, this.leadership);
+    this.peers = new Peers(this.rt);
+    this.requests = new Requests(this.rt, this.state, this.catalog, this.peers);
+  }
+
+  process(commands: Command[], now: Instant, today: Date): Effect[] {
+    this.rt.now = now;
+    this.rt.today = today;
+    if (this.startedAt === null) this.start();
+    for (const command of commands) this.apply(command);
+    this.rt.runDue();
+    return this.rt.takeEffects();
+  }
+
+  /** When the next batch is due even if no command comes. */
+  nextDue(): Instant {
+    return this.rt.nextDue();
+  }
+
+  private start(): void {
+    this.startedAt = this.rt.now;
+    this.leadership.start();
+    this.catalog.start();
+    this.peers.start(() => this.tellPeers());
+    this.rt.every(CHECK_EVERY, () => {
+      this.resignIfDeaf();
+      return true;
+    });
+  }
+
+  private apply(command: Command): void {
+    if (command.kind === 'result') this.rt.settle(command.id, command.result);
+    else if (command.kind === 'beat') this.peers.hear(command);
+    else if (command.kind === 'request') this.route(command);
+  }
+
+  private tellPeers(): void {
+    this.rt.beat(this.leadership.leader ?? '', this.term?.token ?? 0, this.state.ok);
+  }
+
+  // --- leadership ------------------------------------------------------------
+
+  private begin(token: number): void {
+    this.term?.close();
+    const term = new Term(this.rt, this.state, this.leadership, token);
+    this.term = term;
+    const types = () => this.catalog.types;
+    const fleet = new FleetKeeper(this.rt, this.state, this.leadership, term, types);
+    const placer = new Placer(
+      this.rt,
+      term,
+      types,
+      (m, type) => fleet.price(m, type),
+      () => fleet.rentable(),
+    );
+    term.start();
+    new Completer(this.rt, this.state, this.leadership, term).start();
+    placer.start();
+    fleet.start();
+  }
+
+  private endTerm(): void {
+    this.rt.env.log('info', { token: this.term?.token }, 'no longer leading');
+    this.term?.close();
+    this.term = null;
+  }
+
+  /** A leader that workers can't reach makes way for one that they can. */
+  private resignIfDeaf(): void {
+    const term = this.term;
+    if (!term || !this.leadership.held() || this.state.doubtful || !term.loaded) return;
+    const silence = this.rt.now - term.lastReport;
+    const young = this.rt.now - term.acquired < DEAF_GRACE;
+    if (young || term.machines.size < 2 || silence < this.rt.operator.leadership.resignDeaf) return;
+    this.leadership.resign('no reports arrive');
+  }
+
+  // --- requests --------------------------------------------------------------
+
+  private route(request: Request): void {
+    if (request.path === HEALTH_PATH) return this.health(request);
+    if (request.path === REPORT_PATH) return this.hello(request);
+    if (this.requests.handle(request)) return;
+    this.rt.reply(request.id, { status: 404, body: { error: 'no such path' } });
+  }
+
+  private notAllowed(request: Request, allow: string): void {
+    this.rt.reply(request.id, { status: 405, body: { error: 'method not allowed' }, allow });
+  }
+
+  private health(request: Request): void {
+    if (request.method !== 'GET') return this.notAllowed(request, 'GET');
+    const healthy = this.healthy();
+    this.rt.reply(request.id, { status: healthy ? 200 : 503, body: { healthy } });
+  }
+
+  /**
+   * In an outage common to all, nodes stay healthy: removals would only double
+   * the load balancer's pause. A node cut off from everything says so.
+   */
+  private healthy(): boolean {
+    const starting = this.rt.now - (this.startedAt ?? 0) < START_PATIENCE;
+    if (starting && !this.catalog.known) return false;
+    return this.state.ok || this.peers.anyAlive;
+  }
+
+  private hello(request: Request): void {
+    if (request.method !== 'POST') return this.notAllowed(request, 'POST');
+    let report: WorkerReport;
+    try {
+      report = parseReport(unpackBody(request.body));
+    } catch (error) {
+      if (!(error instanceof WireError)) throw error;
+      return this.rt.reply(request.id, { status: 400, body: { error: error.message } });
+    }
+    this.leadership.outranked(report.token);
+    const held = this.leadership.held();
+    if (!held || !this.term) return this.redirect(request);
+    const orders = this.term.report(report);
+    this.rt.reply(request.id, {
+      status: 200,
+      body: renderReportAnswer(held.token, orders),
+      validUntil: held.validUntil,
+    });
+  }
+
+  /** Names the leader only while it seems to live, so that workers lose no time on it. */
+  private redirect(request: Request): void {
+    const leader = this.leadership.leader;
+    const known = leader !== null && this.peers.alive(leader);
+    this.rt.reply(request.id, { status: 421, body: renderRedirect(known ? leader : null) });
+  }
+}
--- /dev/null
+++ b/packages/controller/src/fleet-keeper.ts
@@ -0,0 +1,364 @@
+import {
+  MACHINES_PATH,
+  MAX_RETURN,
+  RETURN_PATH,
+  listPath,
+  parseList,
+  parseRented,
+  renderRent,
+  renderReturn,
+  type Instant,
+  type ListedMachine,
+  type MachineType,
+} from '@tealdock/wire';
+import { offerings, planRentals, type Backlog, type Place, type Room } from '@tealdock/scheduler';
+import { OWNED_KEY, machineKey, type MachineValue } from './keys.js';
+import type { Leadership } from './leadership.js';
+import type { Machine } from './machine.js';
+import { PRIORITY, type CallPriority, type CallResult } from './ports.js';
+import type { Runtime } from './runtime.js';
+import { attempt, type StateStore } from './state-store.js';
+import { typeOf, type Term } from './term.js';
+
+const LIST_EVERY = 3000;
+const RENT_EVERY = 1000;
+const CALL_TIMEOUT = 4000;
+const REFUSED_FOR = 15_000;
+/** The cloud charges a machine that is returned for at least this long. */
+const LEAST_CHARGE = 60_000;
+const MOST_PLANNED = 60;
+/** An owned fleet is not paid for by the second: what it rents is kept for longer. */
+const FAST_IDLE = 180_000;
+
+interface Coming extends Place {
+  asked: Instant;
+}
+
+interface Rental extends Place {
+  request: string;
+  count: number;
+  asked: Instant;
+}
+
+const placeKey = (p: Place): string => `${p.type} ${p.zone} ${p.spot}`;
+
+/** Rents for the backlog, returns what is idle, failed or never came up. */
+export class FleetKeeper {
+  private readonly rentals = new Map<string, Rental>();
+  private readonly coming = new Map<string, Coming>();
+  private readonly refused = new Map<string, Instant>();
+  private listed = new Map<string, ListedMachine>();
+  private listAsked: Instant | null = null;
+  private owned: string | null = null;
+  private requests = 0;
+  private returning = false;
+
+  constructor(
+    private readonly rt: Runtime,
+    private readonly state: StateStore,
+    private readonly leadership: Leadership,
+    private readonly term: Term,
+    private readonly types: () => MachineType[],
+  ) {}
+
+  start(): void {
+    this.readOwned();
+    this.repeat(LIST_EVERY, () => this.list('', new Map(), this.rt.now));
+    this.repeat(RENT_EVERY, () => this.keep());
+  }
+
+  private repeat(period: number, run: () => void): void {
+    this.rt.every(period, () => {
+      if (!this.term.closed && this.leadership.held()) run();
+      return !this.term.closed;
+    });
+  }
+
+  /** Machines that were there before the first rental are the operator's own. */
+  isOwned(id: string): boolean {
+    return this.owned !== null && this.owned !== '' && id <= this.owned;
+  }
+
+  price(m: Machine, type: MachineType): number {
+    if (this.isOwned(m.id)) return 0;
+    return m.spot ? type.spotPrice : type.price;
+  }
+
+  /** Whether anything can be rented at all just now. */
+  rentable(): boolean {
+    return this.offers().length > 0;
+  }
+
+  private call(
+    method: string,
+    path: string,
+    body: unknown,
+    priority: CallPriority,
+    done: (r: CallResult) => void,
+  ): void {
+    const call = {
+      target: 'cloud' as const,
+      to: '',
+      method,
+      path,
+      body,
+      priority,
+      writes: 0,
+      timeout: CALL_TIMEOUT,
+    };
+    this.rt.call(call, (r) => {
+      if (!this.term.closed) done(r);
+    });
+  }
+
+  // --- what there is ---------------------------------------------------------
+
+  private readOwned(): void {
+    if (this.term.closed) return;
+    this.state.get(OWNED_KEY, PRIORITY.leader, (got) => {
+      if (got.kind === 'failed') return this.rt.after(1000, () => this.readOwned());
+      if (got.kind === 'found') this.owned = (got.item.value as { last: string }).last;
+    });
+  }
+
+  private noteOwned(machines: ListedMachine[]): void {
+    if (this.owned !== null) return;
+    const heard = [...this.term.machines.keys()];
+    const last = [...machines.map((m) => m.id), ...heard].sort().at(-1) ?? '';
+    const guards = [this.leadership.guard(), { key: OWNED_KEY, version: 0 }];
+    const write = { put: OWNED_KEY, value: { last } };
+    this.state.commit(guards, [write], PRIORITY.leader, (committed) => {
+      if (committed.kind === 'ok') this.owned = last;
+      else this.readOwned();
+    });
+  }
+
+  private list(after: string, found: Map<string, ListedMachine>, asked: Instant): void {
+    this.call('GET', listPath(after), null, PRIORITY.leader, (r) => {
+      const page =
+        r.kind === 'answer' && r.status === 200 ? attempt(() => parseList(r.body)) : null;
+      if (!page) return;
+      for (const m of page.machines) found.set(m.id, m);
+      const last = page.machines.at(-1);
+      if (page.more && last) return this.list(last.id, found, asked);
+      this.listed = found;
+      this.listAsked = asked;
+      this.noteOwned([...found.values()]);
+      this.seeList();
+    });
+  }
+
+  private seeList(): void {
+    for (const [id, m] of this.listed) {
+      const known = this.term.machines.get(id);
+      if (known) known.seenListed = true;
+      if (m.state === 'booting' && !known && !this.coming.has(id)) {
+        this.coming.set(id, {
+          type: m.type,
+          zone: m.zone,
+          spot: m.spot,
+          asked: this.rt.now - m.age,
+        });
+      }
+    }
+    // Taken before it ever reported: no longer listed, nor coming.
+    const lag = this.rt.settings.cloud.listLag * 2;
+    for (const [id, c] of this.coming) {
+      const old = this.listAsked! - lag > c.asked + lag;
+      if (this.term.machines.has(id) || (old && !this.listed.has(id))) this.coming.delete(id);
+    }
+  }
+
+  // --- renting ---------------------------------------------------------------
+
+  private keep(): void {
+    this.giveBack();
+    if (!this.term.loaded || this.owned === null || this.types().length === 0) return;
+    this.repeatRentals();
+    if (this.rentals.size === 0) this.rent();
+  }
+
+  private offers() {
+    return offerings(this.types(), (p) => (this.refused.get(placeKey(p)) ?? 0) > this.rt.now);
+  }
+
+  private backlog(): Backlog[] {
+    const jobs = [...this.term.jobs.values()].filter(
+      (j) => j.waiting > 0 && j.backoffUntil <= this.rt.now,
+    );
+    const rest = new Map<string, number>();
+    return jobs.map((job) => {
+      const team = this.rt.settings.teams.find((t) => t.name === job.spec.team);
+      const room =
+        rest.get(job.spec.team) ?? (team?.cpusMax ?? 0) - this.term.teamUse(job.spec.team).cpus;
+      const most = job.spec.cpus > 0 ? Math.floor(room / job.spec.cpus) : job.waiting;
+      const tasks = Math.max(0, Math.min(job.waiting, most));
+      rest.set(job.spec.team, room - tasks * job.spec.cpus);
+      return { spec: job.spec, tasks };
+    });
+  }
+
+  private rooms(): Room[] {
+    const rooms: Room[] = [];
+    for (const m of this.term.machines.values()) {
+      const type = typeOf(this.types(), m);
+      if (!type || m.returning || m.noticeUntil !== null || m.asideUntil > this.rt.now) continue;
+      rooms.push({ type: m.type, zone: m.zone, spot: m.spot, free: m.free(type) });
+    }
+    for (const c of this.coming.values()) {
+      const type = this.types().find((t) => t.name === c.type);
+      if (type)
+        rooms.push({ ...c, free: { cpus: type.cpus, gpus: type.gpus, memoryGb: type.memoryGb } });
+    }
+    return rooms;
+  }
+
+  private rent(): void {
+    const plan = planRentals(this.backlog(), this.rooms(), this.offers(), MOST_PLANNED);
+    const groups = new Map<string, { place: Place; count: number }>();
+    for (const p of plan) {
+      const group = groups.get(placeKey(p)) ?? { place: p, count: 0 };
+      group.count = Math.min(50, group.count + 1);
+      groups.set(placeKey(p), group);
+    }
+    for (const { place, count } of groups.values()) {
+      const request = `${this.term.token}-${++this.requests}`;
+      const { type, zone, spot } = place;
+      this.rentals.set(request, { request, type, zone, spot, count, asked: this.rt.now });
+      this.askRental(request);
+    }
+  }
+
+  /** Without an answer the same name is asked for again, so nothing is rented twice. */
+  private repeatRentals(): void {
+    for (const [request, r] of this.rentals) {
+      if (this.rt.now - r.asked > CALL_TIMEOUT + 1000) this.askRental(request);
+    }
+  }
+
+  private askRental(request: string): void {
+    const rental = this.rentals.get(request);
+    if (!rental) return;
+    rental.asked = this.rt.now;
+    this.call('POST', MACHINES_PATH, renderRent(rental), PRIORITY.leader, (r) =>
+      this.rented(rental, r),
+    );
+  }
+
+  private rented(rental: Rental, r: CallResult): void {
+    if (r.kind !== 'answer' || !this.rentals.has(rental.request)) return;
+    const hosts = r.status === 200 ? attempt(() => parseRented(r.body)) : null;
+    const full = r.status === 503 && /capacity/.test(JSON.stringify(r.body));
+    if (!hosts && !full && r.status !== 400) return;
+    this.rentals.delete(rental.request);
+    for (const id of hosts ?? []) {
+      this.coming.set(id, {
+        type: rental.type,
+        zone: rental.zone,
+        spot: rental.spot,
+        asked: this.rt.now,
+      });
+    }
+    if ((hosts?.length ?? 0) < rental.count) {
+      this.refused.set(placeKey(rental), this.rt.now + REFUSED_FOR);
+    }
+    this.rt.env.log('info', { ...rental, hosts: hosts ?? [], status: r.status }, 'rental answered');
+  }
+
+  // --- returning -------------------------------------------------------------
+
+  private giveBack(): void {
+    if (this.returning || !this.term.loaded) return;
+    const chosen = this.toReturn().slice(0, Math.min(MAX_RETURN, this.rt.settings.state.txnOps));
+    if (chosen.length === 0) return;
+    this.returning = true;
+    const fresh = chosen.filter((c) => !this.term.machines.get(c.id)?.returnCommitted);
+    if (fresh.length === 0) return this.sendReturn(chosen.map((c) => c.id));
+    for (const c of fresh) {
+      const m = this.term.machines.get(c.id);
+      if (m) {
+        m.returning = true;
+        this.term.unbookAll(m);
+      }
+    }
+    this.rt.env.log('info', { machines: chosen }, 'returning machines');
+    const writes = fresh.map((c) => {
+      const value: MachineValue = { type: c.type, zone: c.zone, spot: c.spot, returning: true };
+      return { put: machineKey(c.id), value };
+    });
+    // Committed first: no later term may give work to a machine that is on its way back.
+    this.state.commit([this.leadership.guard()], writes, PRIORITY.leader, (committed) => {
+      if (committed.kind !== 'ok') {
+        this.returning = false;
+        return;
+      }
+      for (const c of fresh) {
+        const m = this.term.machines.get(c.id);
+        if (m) m.returnCommitted = m.inRoster = true;
+      }
+      this.sendReturn(chosen.map((c) => c.id));
+    });
+  }
+
+  private sendReturn(ids: string[]): void {
+    this.call('POST', RETURN_PATH, renderReturn(ids), PRIORITY.leader, (r) => {
+      this.returning = false;
+      if (r.kind !== 'answer' || r.status !== 200) return;
+      for (const id of ids) {
+        this.term.machineGone(id);
+        this.coming.delete(id);
+        this.listed.delete(id);
+      }
+      const writes = ids.map((id) => ({ remove: machineKey(id) }));
+      this.state.commit([this.leadership.guard()], writes, PRIORITY.background, () => undefined);
+    });
+  }
+
+  private toReturn(): { id: string; type: string; zone: string; spot: boolean }[] {
+    const chosen = new Map<string, { id: string; type: string; zone: string; spot: boolean }>();
+    const add = (id: string, p: Place) =>
+      chosen.set(id, { id, type: p.type, zone: p.zone, spot: p.spot });
+    for (const m of this.term.machines.values()) if (this.shouldReturn(m)) add(m.id, m);
+    for (const [id, m] of this.listed) {
+      if (m.state === 'failed' && !this.term.isGone(id)) add(id, m);
+    }
+    for (const [id, c] of this.coming) if (this.neverCame(c)) add(id, c);
+    return [...chosen.values()];
+  }
+
+  private neverCame(c: Coming): boolean {
+    const boot = this.types().find((t) => t.name === c.type)?.boot;
+    if (boot === undefined) return false;
+    return this.rt.now - c.asked > boot * this.rt.operator.fleet.bootPatience + 5000;
+  }
+
+  private shouldReturn(m: Machine): boolean {
+    if (m.returning || this.vanished(m)) return true;
+    if (this.isOwned(m.id) || this.owned === null || !this.term.ready) return false;
+    return this.idleLongEnough(m);
+  }
+
+  /**
+   * It was listed, then fell silent, and a list that must be newer than its last
+   * report lacks it. That alone proves nothing; the answer to its return will.
+   */
+  private vanished(m: Machine): boolean {
+    if (!m.seenListed || this.listAsked === null || this.listed.has(m.id)) return false;
+    const heard = m.lastHeard ?? this.term.acquired;
+    return this.listAsked - this.rt.settings.cloud.listLag * 2 > heard;
+  }
+
+  private idleLongEnough(m: Machine): boolean {
+    if (m.idleSince === null || m.noticeUntil !== null) return false;
+    const fast = this.policy() === 'fast';
+    const least = fast ? FAST_IDLE : this.rt.operator.fleet.idleReturn;
+    const age = this.listed.get(m.id)?.age ?? Infinity;
+    return this.rt.now - m.idleSince >= least && age >= LEAST_CHARGE;
+  }
+
+  private policy(): 'frugal' | 'fast' {
+    const set = this.rt.operator.fleet.policy;
+    if (set !== 'auto') return set;
+    return this.owned !== null && this.owned !== '' ? 'fast' : 'frugal';
+  }
+}
--- /dev/null
+++ b/packages/controller/src/leadership.ts
@@ -0,0 +1,190 @@
+import type { Instant } from '@tealdock/wire';
+import { LEADER_KEY, type LeaderValue } from './keys.js';
+import { PRIORITY } from './ports.js';
+import type { Runtime } from './runtime.js';
+import type { StateStore } from './state-store.js';
+
+/** Steady clocks drift apart by up to 0.05%; twice that, and a little for rounding. */
+const DRIFT = 0.001;
+const LEASE_MARGIN = 100;
+const RENEW_PART = 6;
+const WATCH_HOLD = 10_000;
+const RETRY = 500;
+const READ_EVERY = 2000;
+/** After giving leadership up, others get this long to take it. */
+const STAND_BACK = 12_000;
+
+export interface Held {
+  token: number;
+  validUntil: Instant;
+}
+
+/**
+ * The leader is whoever holds one key on a lease of the state service; the token
+ * is the revision of the commit that wrote it. A lease is sure from the *send* of
+ * its last renewal, so a slow answer never stretches it.
+ */
+export class Leadership {
+  /** Member that the key names, as last read; null when unknown. */
+  leader: string | null = null;
+  private lease: number | null = null;
+  private leaseUntil: Instant = 0;
+  private token: number | null = null;
+  private nonce: string | null = null;
+  private electing = false;
+  private standBackUntil: Instant = 0;
+
+  constructor(
+    private readonly rt: Runtime,
+    private readonly state: StateStore,
+    private readonly onGained: (token: number) => void,
+    private readonly onLost: () => void,
+  ) {}
+
+  start(): void {
+    this.follow();
+    this.rt.every(this.rt.operator.leadership.lease / RENEW_PART, () => {
+      this.renew();
+      return true;
+    });
+  }
+
+  /** Set only while the lease is surely valid. */
+  held(): Held | null {
+    if (this.token === null || this.rt.now >= this.leaseUntil) return null;
+    return { token: this.token, validUntil: this.leaseUntil };
+  }
+
+  /** Every transaction of a leader is guarded by this. */
+  guard(): { key: string; version: number } {
+    return { key: LEADER_KEY, version: this.token ?? 0 };
+  }
+
+  /** Gives leadership up for the others to take. */
+  resign(reason: string): void {
+    if (this.token === null) return;
+    this.rt.env.log('info', { token: this.token, reason }, 'resigning leadership');
+    this.standBackUntil = this.rt.now + STAND_BACK;
+    if (this.lease !== null) this.state.release(this.lease);
+    this.dropLease();
+    this.lose();
+  }
+
+  /** A higher token exists: some other node leads. */
+  outranked(token: number): void {
+    if (this.token === null || token <= this.token) return;
+    this.rt.env.log('info', { token: this.token, seen: token }, 'outranked');
+    this.lose();
+  }
+
+  private lose(): void {
+    this.token = null;
+    this.nonce = null;
+    this.leader = null;
+    this.onLost();
+  }
+
+  private dropLease(): void {
+    this.lease = null;
+    this.leaseUntil = 0;
+    // A key written on the lost lease can't be kept alive by a new one.
+    this.nonce = null;
+  }
+
+  private renew(): void {
+    const lease = this.lease;
+    if (lease === null) return;
+    const sent = this.rt.now;
+    this.state.renew(lease, (renewed) => {
+      if (this.lease !== lease) return;
+      if (renewed === 'ok') this.extend(sent);
+      if (renewed !== 'ended') return;
+      this.dropLease();
+      if (this.token !== null) this.lose();
+    });
+  }
+
+  private extend(sent: Instant): void {
+    const life = this.rt.operator.leadership.lease;
+    this.leaseUntil = Math.max(this.leaseUntil, sent + life * (1 - DRIFT) - LEASE_MARGIN);
+  }
+
+  /** Reads the key, acts on it, then watches for its next change. */
+  private follow(): void {
+    this.state.get(LEADER_KEY, PRIORITY.lease, (got) => {
+      if (got.kind === 'failed') return this.rt.after(RETRY, () => this.follow());
+      if (got.kind === 'missing') this.seeVacant();
+      else this.seeHolder(got.item.value as LeaderValue, got.item.version);
+      const version = got.kind === 'found' ? got.item.version : null;
+      if (version === null || this.electing) return this.rt.after(RETRY / 2, () => this.follow());
+      this.watchFrom(version);
+    });
+  }
+
+  private watchFrom(revision: number): void {
+    const opened = this.rt.now;
+    this.state.watch(LEADER_KEY, revision, WATCH_HOLD, (watched) => {
+      const quick = this.rt.now - opened < READ_EVERY && watched.kind !== 'events';
+      this.rt.after(quick ? RETRY : 0, () => this.follow());
+    });
+  }
+
+  private seeVacant(): void {
+    this.leader = null;
+    if (this.token !== null) this.lose();
+    if (this.electing || this.rt.now < this.standBackUntil) return;
+    this.elect(0, this.rt.env.random() * 200);
+  }
+
+  private seeHolder(value: LeaderValue, version: number): void {
+    const own = value.member === this.rt.settings.member;
+    this.leader = value.member;
+    if (version === this.token) return;
+    if (this.token !== null) this.lose();
+    if (!own || this.electing) return;
+    if (this.nonce !== null && value.nonce === this.nonce) return this.gain(version);
+    // The same member's earlier process is dead: there is never more than one.
+    this.elect(version, 0);
+  }
+
+  private elect(version: number, delay: number): void {
+    this.electing = true;
+    this.rt.after(delay, () => this.obtainLease(version));
+  }
+
+  private obtainLease(version: number): void {
+    if (this.lease !== null && this.rt.now < this.leaseUntil) return this.campaign(version);
+    const sent = this.rt.now;
+    this.state.grant(this.rt.operator.leadership.lease, (lease) => {
+      if (lease === null) {
+        this.electing = false;
+        return;
+      }
+      this.lease = lease;
+      this.leaseUntil = 0;
+      this.extend(sent);
+      this.campaign(version);
+    });
+  }
+
+  private campaign(version: number): void {
+    // Kept after an unanswered commit: the next read recognises it as our own.
+    this.nonce = `${this.rt.today.getTime()}-${Math.floor(this.rt.env.random() * 2 ** 31)}`;
+    const value: LeaderValue = { member: this.rt.settings.member, nonce: this.nonce };
+    const lease = this.lease!;
+    const write = { put: LEADER_KEY, value, lease };
+    this.state.commit([{ key: LEADER_KEY, version }], [write], PRIORITY.lease, (committed) => {
+      this.electing = false;
+      if (committed.kind === 'ok') return this.gain(committed.revision);
+      if (committed.kind === 'no_lease') this.dropLease();
+    });
+  }
+
+  private gain(token: number): void {
+    if (this.lease === null) return;
+    this.token = token;
+    this.leader = this.rt.settings.member;
+    this.rt.env.log('info', { token }, 'leading');
+    this.onGained(token);
+  }
+}
--- /dev/null
+++ b/packages/controller/src/machine.ts
@@ -0,0 +1,97 @@
+import type { Instant, MachineType, TaskReport, TaskState, WorkerReport } from '@tealdock/wire';
+import { NOTHING, minus, plus, type Place, type Resources } from '@tealdock/scheduler';
+
+export interface StopWish {
+  grace: number;
+  reason: string;
+}
+
+/**
+ * A task on a machine, or on its way there. `booked`: not told to the worker
+ * yet. `sent`: a start left in the answer to report (`session`, `seq`). `seen`:
+ * a counted report has it.
+ */
+export interface Binding {
+  readonly task: string;
+  readonly job: string;
+  readonly index: number;
+  readonly attempt: number;
+  readonly machine: string;
+  team: string;
+  size: Resources;
+  phase: 'booked' | 'sent' | 'seen';
+  bookedAt: Instant;
+  sentSession: number;
+  sentSeq: number;
+  state: TaskState | null;
+  runningSince: Instant | null;
+  stop: StopWish | null;
+  /** Not one that this term wants to run: it is only counted until it is gone. */
+  foreign: boolean;
+}
+
+export const bindingKey = (task: string, attempt: number): string => `${task}#${attempt}`;
+
+const RECENT_WINDOW = 300_000;
+const MOST_IMAGES = 50;
+
+/** One machine as the leader knows it in this term. */
+export class Machine implements Place {
+  readonly bindings = new Map<string, Binding>();
+  /** Exited tasks in the newest counted report. */
+  exited: TaskReport[] = [];
+  addr = '';
+  session = 0;
+  seq = -1;
+  /** Arrival of the newest report that was answered with 200 in this term. */
+  lastHeard: Instant | null = null;
+  lastCounted: Instant | null = null;
+  /** Its tasks are known in this term, or it is proven to have none of older terms. */
+  resolved = false;
+  /** The roster in the state service has it; no start goes out before. */
+  inRoster = false;
+  returning = false;
+  returnCommitted = false;
+  noticeUntil: Instant | null = null;
+  idleSince: Instant | null = null;
+  failures = 0;
+  asideUntil: Instant = 0;
+  recent = 0;
+  seenListed = false;
+  readonly images = new Set<string>();
+
+  constructor(
+    readonly id: string,
+    readonly type: string,
+    readonly zone: string,
+    readonly spot: boolean,
+  ) {}
+
+  /** True for a report newer than any counted one. */
+  isNews(report: WorkerReport): boolean {
+    if (report.session !== this.session) return report.session > this.session;
+    return report.seq > this.seq;
+  }
+
+  used(): Resources {
+    let sum = NOTHING;
+    for (const b of this.bindings.values()) sum = plus(sum, b.size);
+    return sum;
+  }
+
+  free(type: MachineType): Resources {
+    return minus({ cpus: type.cpus, gpus: type.gpus, memoryGb: type.memoryGb }, this.used());
+  }
+
+  noteImage(image: string): void {
+    this.images.delete(image);
+    this.images.add(image);
+    const oldest = this.images.values().next().value;
+    if (this.images.size > MOST_IMAGES && oldest !== undefined) this.images.delete(oldest);
+  }
+
+  /** Recent accumulated computing time, fading over some minutes. */
+  accumulate(elapsed: number): void {
+    this.recent = this.recent * Math.exp(-elapsed / RECENT_WINDOW) + this.used().cpus * elapsed;
+  }
+}
--- /dev/null
+++ b/packages/controller/src/peers.ts
@@ -0,0 +1,53 @@
+import type { Instant } from '@tealdock/wire';
+import { PRIORITY, type CallResult, type Command } from './ports.js';
+import type { Runtime } from './runtime.js';
+
+const BEAT_EVERY = 1000;
+const FRESH = 3200;
+const ASK_TIMEOUT = 2000;
+
+type Beat = Extract<Command, { kind: 'beat' }>;
+
+/** What the other controllers have said of themselves lately. Never a proof of anything. */
+export class Peers {
+  private readonly beats = new Map<string, { beat: Beat; heard: Instant }>();
+
+  constructor(private readonly rt: Runtime) {}
+
+  start(tell: () => void): void {
+    this.rt.every(BEAT_EVERY, () => {
+      tell();
+      return true;
+    });
+  }
+
+  hear(beat: Beat): void {
+    this.beats.set(beat.member, { beat, heard: this.rt.now });
+  }
+
+  alive(member: string): boolean {
+    const known = this.beats.get(member);
+    return known !== undefined && this.rt.now - known.heard <= FRESH;
+  }
+
+  get anyAlive(): boolean {
+    return this.rt.settings.peers.some((p) => this.alive(p.member));
+  }
+
+  /** A peer that reaches the state service, if any. */
+  get served(): string | null {
+    const peer = this.rt.settings.peers.find(
+      (p) => this.alive(p.member) && this.beats.get(p.member)!.beat.stateOk,
+    );
+    return peer?.member ?? null;
+  }
+
+  /** Has a served peer answer a user's request; false if there is none. */
+  ask(method: string, path: string, body: Buffer, done: (r: CallResult) => void): boolean {
+    const to = this.served;
+    if (to === null) return false;
+    const call = { target: 'peer' as const, to, method, path, body };
+    this.rt.call({ ...call, priority: PRIORITY.user, writes: 0, timeout: ASK_TIMEOUT }, done);
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/controller/src/placer.ts
@@ -0,0 +1,262 @@
+import type { Instant, MachineType } from '@tealdock/wire';
+import {
+  bookedShare,
+  cheapestPlan,
+  choose,
+  compareJobs,
+  fits,
+  minus,
+  need,
+  placeAllowed,
+  plus,
+  rank,
+  withinLimit,
+  type Offer,
+  type Ranked,
+  type Resources,
+  type Victim,
+  type Volunteer,
+} from '@tealdock/scheduler';
+import type { LiveJob, OpenTask } from './live-job.js';
+import type { Binding, Machine } from './machine.js';
+import type { Runtime } from './runtime.js';
+import { typeOf, type Term } from './term.js';
+
+const PASS_EVERY = 100;
+/** Room freed by a stop that takes longer than this is not waited for. */
+const STOP_PATIENCE = 15_000;
+
+/** Room on each machine while one pass goes on. */
+interface Desk {
+  machine: Machine;
+  type: MachineType;
+  free: Resources;
+  /** Free once all that is being stopped is gone, less what higher work waits for. */
+  coming: Resources;
+}
+
+/**
+ * The single placing leader. Each released task has a window; a machine whose
+ * report showed room within it is a volunteer. Holders of the image go first,
+ * then the first point of the front. Room is booked at once.
+ */
+export class Placer {
+  constructor(
+    private readonly rt: Runtime,
+    private readonly term: Term,
+    private readonly types: () => MachineType[],
+    private readonly priceOf: (m: Machine, type: MachineType) => number,
+    private readonly rentable: () => boolean,
+  ) {}
+
+  start(): void {
+    this.rt.every(PASS_EVERY, () => {
+      if (!this.term.closed) this.pass();
+      return !this.term.closed;
+    });
+  }
+
+  private pass(): void {
+    if (!this.term.loaded) return;
+    for (const job of this.term.jobs.values()) job.release(this.rt.now);
+    if (!this.term.ready) return;
+    this.rescue();
+    const jobs = this.waitingJobs();
+    if (jobs.length === 0) return;
+    const desks = this.desks();
+    for (const job of jobs) this.placeJob(job, desks);
+  }
+
+  private waitingJobs(): LiveJob[] {
+    const ranked = [...this.term.jobs.values()]
+      .filter((job) => job.open.size > 0 && job.backoffUntil <= this.rt.now)
+      .map((job) => ({ job, key: this.rankOf(job) }));
+    return ranked.sort((a, b) => compareJobs(a.key, b.key)).map((r) => r.job);
+  }
+
+  private rankOf(job: LiveJob): Ranked {
+    const ratio = this.term.ratios.get(job.spec.jobClass) ?? 1;
+    return {
+      spec: job.spec,
+      submitted: job.submitted,
+      expected: job.spec.estimate * ratio,
+      guaranteed: this.belowGuarantee(job),
+    };
+  }
+
+  private belowGuarantee(job: LiveJob): boolean {
+    const team = this.rt.settings.teams.find((t) => t.name === job.spec.team);
+    if (!team) return false;
+    const after = plus(this.term.teamUse(team.name), need(job.spec));
+    return after.cpus <= team.cpus && after.gpus <= team.gpus;
+  }
+
+  /** Machines whose reports are recent enough to count as volunteers. */
+  private desks(): Desk[] {
+    const recent = Math.max(this.rt.operator.window.lambda, this.rt.settings.reportEvery * 1.5);
+    const desks: Desk[] = [];
+    for (const m of this.term.machines.values()) {
+      const type = typeOf(this.types(), m);
+      const heard = m.lastCounted !== null && this.rt.now - m.lastCounted <= recent;
+      if (!type || !heard || !m.inRoster || m.returning) continue;
+      if (m.noticeUntil !== null || m.asideUntil > this.rt.now) continue;
+      const free = m.free(type);
+      desks.push({ machine: m, type, free, coming: plus(free, this.stopping(m)) });
+    }
+    return desks;
+  }
+
+  private stopping(m: Machine): Resources {
+    let sum: Resources = { cpus: 0, gpus: 0, memoryGb: 0 };
+    for (const b of m.bindings.values()) {
+      if (b.stop && this.rt.now - m.lastCounted! < STOP_PATIENCE) sum = plus(sum, b.size);
+    }
+    return sum;
+  }
+
+  private placeJob(job: LiveJob, desks: Desk[]): void {
+    for (const task of [...job.open.values()]) {
+      if (!this.windowCloses(task)) continue;
+      if (!this.withinTeamLimit(job)) return;
+      const allowed = this.allowedDesks(job, desks);
+      const chosen = this.volunteerFor(job, allowed);
+      if (!chosen) {
+        this.noFit(job, task, allowed);
+        if (!this.reserve(job, allowed)) return;
+        continue;
+      }
+      this.term.book(job, task.index, chosen.machine);
+      job.starvedSince = null;
+      chosen.free = minus(chosen.free, need(job.spec));
+      chosen.coming = minus(chosen.coming, need(job.spec));
+    }
+  }
+
+  /** λ is over, or it may close early since standing volunteers are known. */
+  private windowCloses(task: OpenTask): boolean {
+    const open = this.rt.now - task.opened;
+    return open >= Math.min(this.rt.operator.window.closeEarly, this.rt.operator.window.lambda);
+  }
+
+  /** Without a fit the timer starts again. */
+  private noFit(job: LiveJob, task: OpenTask, desks: Desk[]): void {
+    job.starvedSince ??= this.rt.now;
+    if (this.rt.now - task.opened >= this.rt.operator.window.lambda) task.opened = this.rt.now;
+    const waited = this.rt.now - job.starvedSince;
+    if (this.rentable() && waited < this.patience(job)) return;
+    this.makeRoom(job, desks);
+  }
+
+  /** Rented room is preferred to another task's while it can come in time. */
+  private patience(job: LiveJob): number {
+    if (rank(job.spec) >= 2) return 0;
+    const boots = this.types().map((t) => t.boot);
+    return boots.length > 0 ? Math.min(...boots) : 0;
+  }
+
+  private withinTeamLimit(job: LiveJob): boolean {
+    const team = this.rt.settings.teams.find((t) => t.name === job.spec.team);
+    return !!team && withinLimit(team, this.term.teamUse(team.name), need(job.spec));
+  }
+
+  private allowedDesks(job: LiveJob, desks: Desk[]): Desk[] {
+    const zones = this.term.zonesOf(job);
+    return desks.filter((d) => placeAllowed(job.spec, d.machine, zones));
+  }
+
+  private volunteerFor(job: LiveJob, desks: Desk[]): Desk | undefined {
+    const able = desks.filter((d) => fits(need(job.spec), d.free));
+    const volunteers = able.map((d): Volunteer & { desk: Desk } => ({
+      desk: d,
+      machine: d.machine.id,
+      load: bookedShare(d.type, d.free),
+      price: this.priceOf(d.machine, d.type),
+      recent: d.machine.recent,
+      hasImage: d.machine.images.has(job.spec.image),
+    }));
+    const chosen = choose(volunteers);
+    return able.find((d) => d.machine.id === chosen?.machine);
+  }
+
+  /** Keeps room that is coming for this task; false when no machine will have any. */
+  private reserve(job: LiveJob, desks: Desk[]): boolean {
+    const desk = desks.find((d) => fits(need(job.spec), d.coming));
+    if (!desk) return false;
+    desk.coming = minus(desk.coming, need(job.spec));
+    return true;
+  }
+
+  // --- making room -----------------------------------------------------------
+
+  private makeRoom(job: LiveJob, desks: Desk[]): void {
+    if (desks.some((d) => fits(need(job.spec), d.coming))) return;
+    const guaranteed = this.belowGuarantee(job);
+    const offers = desks.map((d): Offer => ({
+      machine: d.machine.id,
+      free: d.coming,
+      victims: this.victims(d.machine, job, guaranteed),
+    }));
+    const plan = cheapestPlan(offers, need(job.spec));
+    if (!plan) return;
+    const desk = desks.find((d) => d.machine.id === plan.machine)!;
+    for (const victim of plan.victims) this.stopVictim(desk, victim, job);
+  }
+
+  private stopVictim(desk: Desk, victim: Victim, job: LiveJob): void {
+    const b = [...desk.machine.bindings.values()].find((x) => x.task === victim.task && !x.stop);
+    if (!b) return;
+    const reason = `room for ${job.id}`;
+    b.stop = { grace: this.term.jobs.get(b.job)?.spec.save ?? 0, reason };
+    desk.coming = plus(desk.coming, victim.size);
+    this.rt.env.log('debug', { task: b.task, machine: b.machine, reason }, 'preempting');
+  }
+
+  private victims(m: Machine, job: LiveJob, guaranteed: boolean): Victim[] {
+    const victims: Victim[] = [];
+    for (const b of m.bindings.values()) {
+      const other = this.term.jobs.get(b.job);
+      if (!other || b.stop || b.phase !== 'seen') continue;
+      const lower = rank(other.spec) < rank(job.spec);
+      const borrowed = guaranteed && other.spec.team !== job.spec.team && this.borrows(other);
+      if (lower || borrowed)
+        victims.push({ task: b.task, size: b.size, lost: lost(b, other, this.rt.now) });
+    }
+    return victims;
+  }
+
+  /** The team of this job uses more than its guarantee. */
+  private borrows(job: LiveJob): boolean {
+    const team = this.rt.settings.teams.find((t) => t.name === job.spec.team);
+    if (!team) return false;
+    const used = this.term.teamUse(team.name);
+    return used.cpus > team.cpus || used.gpus > team.gpus;
+  }
+
+  // --- machines that are about to be taken -----------------------------------
+
+  private rescue(): void {
+    for (const m of this.term.machines.values()) {
+      if (m.noticeUntil === null) continue;
+      for (const b of m.bindings.values()) this.rescueTask(m, b);
+    }
+  }
+
+  /** Saves while there is time; a task that can't save runs on if it may still finish. */
+  private rescueTask(m: Machine, b: Binding): void {
+    const job = this.term.jobs.get(b.job);
+    if (!job || b.stop || b.phase !== 'seen') return;
+    const ran = this.rt.now - (b.runningSince ?? this.rt.now);
+    const ratio = this.term.ratios.get(job.spec.jobClass) ?? 1;
+    const left = job.spec.estimate * ratio - ran;
+    const notice = m.noticeUntil! - this.rt.now;
+    if (b.state === 'running' && left < notice) return;
+    b.stop = { grace: job.spec.save, reason: 'notice' };
+  }
+}
+
+/** Work lost if the task is stopped now; one that saves loses only what stopping takes. */
+function lost(b: Binding, job: LiveJob, now: Instant): number {
+  if (b.runningSince === null || b.state === 'fetching') return 0;
+  if (job.spec.checkpoint > 0) return job.spec.save;
+  return now - b.runningSince;
+}
--- /dev/null
+++ b/packages/controller/src/state-store.ts
@@ -0,0 +1,185 @@
+import {
+  COMMIT_PATH,
+  GRANTS_PATH,
+  keyPath,
+  leasePath,
+  pagePath,
+  parseChanges,
+  parseCommitted,
+  parseGrant,
+  parseItem,
+  parsePage,
+  renderCommit,
+  renewPath,
+  watchPath,
+  type Guard,
+  type Instant,
+  type StateEvent,
+  type StateItem,
+  type Write,
+} from '@tealdock/wire';
+import { PRIORITY, type CallPriority, type CallResult } from './ports.js';
+import type { Runtime } from './runtime.js';
+
+/** A read that failed says nothing about the key. */
+export type Got = { kind: 'found'; item: StateItem } | { kind: 'missing' } | { kind: 'failed' };
+
+/** `refused`: surely not executed. `unknown`: perhaps executed, now or later. */
+export type Committed =
+  | { kind: 'ok'; revision: number }
+  | { kind: 'conflict' }
+  | { kind: 'no_lease' }
+  | { kind: 'refused' }
+  | { kind: 'unknown' };
+
+export type Watched =
+  | { kind: 'events'; revision: number; events: StateEvent[] }
+  | { kind: 'too_old' }
+  | { kind: 'failed' };
+
+export type Renewed = 'ok' | 'ended' | 'failed';
+
+const READ_TIMEOUT = 1200;
+const COMMIT_TIMEOUT = 2000;
+const PAGE = 200;
+/** Calls without a good answer for this long mean that the service is lost to this node. */
+const LOST_AFTER = 2500;
+
+/** The state service through its protocol, in the terms of the state owner. */
+export class StateStore {
+  private failingSince: Instant | null = null;
+
+  constructor(private readonly rt: Runtime) {}
+
+  /** False once the service has been refusing or silent for a while. */
+  get ok(): boolean {
+    return this.failingSince === null || this.rt.now - this.failingSince < LOST_AFTER;
+  }
+
+  /** True as soon as the newest call has failed. */
+  get doubtful(): boolean {
+    return this.failingSince !== null;
+  }
+
+  get(key: string, priority: CallPriority, done: (got: Got) => void): void {
+    this.send('GET', keyPath(key), null, priority, 0, READ_TIMEOUT, (r) => {
+      if (r.kind !== 'answer') return done({ kind: 'failed' });
+      if (r.status === 404) return done({ kind: 'missing' });
+      const item = r.status === 200 ? attempt(() => parseItem(r.body)) : null;
+      done(item ? { kind: 'found', item } : { kind: 'failed' });
+    });
+  }
+
+  /** Every item with the prefix, or null if that can't be told. */
+  readAll(
+    prefix: string,
+    priority: CallPriority,
+    done: (all: { items: StateItem[]; revision: number } | null) => void,
+  ): void {
+    const items: StateItem[] = [];
+    let first = -1;
+    const next = (after: string) =>
+      this.send('GET', pagePath(prefix, after, PAGE), null, priority, 0, READ_TIMEOUT, (r) => {
+        const page =
+          r.kind === 'answer' && r.status === 200 ? attempt(() => parsePage(r.body)) : null;
+        if (!page) return done(null);
+        items.push(...page.items);
+        if (first < 0) first = page.revision;
+        const last = page.items.at(-1);
+        if (page.more && last) return next(last.key);
+        // The oldest revision: a watch from there repeats what later pages already held.
+        done({ items, revision: first });
+      });
+    next('');
+  }
+
+  commit(
+    guards: Guard[],
+    writes: Write[],
+    priority: CallPriority,
+    done: (committed: Committed) => void,
+  ): void {
+    const body = renderCommit(guards, writes);
+    this.send('POST', COMMIT_PATH, body, priority, writes.length, COMMIT_TIMEOUT, (r) =>
+      done(committedFrom(r)),
+    );
+  }
+
+  grant(life: number, done: (lease: number | null) => void): void {
+    const body = { life_ms: Math.round(life) };
+    this.send('POST', GRANTS_PATH, body, PRIORITY.lease, 0, READ_TIMEOUT, (r) =>
+      done(r.kind === 'answer' && r.status === 200 ? attempt(() => parseGrant(r.body)) : null),
+    );
+  }
+
+  renew(lease: number, done: (renewed: Renewed) => void): void {
+    this.send('POST', renewPath(lease), null, PRIORITY.lease, 0, READ_TIMEOUT, (r) => {
+      if (r.kind !== 'answer') return done('failed');
+      done(r.status === 200 ? 'ok' : r.status === 404 ? 'ended' : 'failed');
+    });
+  }
+
+  release(lease: number): void {
+    this.send('DELETE', leasePath(lease), null, PRIORITY.lease, 0, READ_TIMEOUT, () => undefined);
+  }
+
+  watch(prefix: string, after: number, hold: number, done: (watched: Watched) => void): void {
+    const path = watchPath(prefix, after, hold);
+    this.send('GET', path, null, PRIORITY.leader, 0, hold + 4000, (r) => {
+      if (r.kind === 'answer' && r.status === 410) return done({ kind: 'too_old' });
+      const news =
+        r.kind === 'answer' && r.status === 200 ? attempt(() => parseChanges(r.body)) : null;
+      done(news ? { kind: 'events', ...news } : { kind: 'failed' });
+    });
+  }
+
+  private send(
+    method: string,
+    path: string,
+    body: unknown,
+    priority: CallPriority,
+    writes: number,
+    timeout: number,
+    done: (result: CallResult) => void,
+  ): void {
+    const call = {
+      target: 'state' as const,
+      to: '',
+      method,
+      path,
+      body,
+      priority,
+      writes,
+      timeout,
+    };
+    this.rt.call(call, (result) => {
+      this.note(result);
+      done(result);
+    });
+  }
+
+  private note(result: CallResult): void {
+    const served = result.kind === 'answer' && result.status < 500 && result.status !== 429;
+    if (served) this.failingSince = null;
+    else if (result.kind !== 'answer' || result.status >= 500) this.failingSince ??= this.rt.now;
+  }
+}
+
+function committedFrom(r: CallResult): Committed {
+  if (r.kind === 'lost') return { kind: 'unknown' };
+  if (r.kind === 'unsent') return { kind: 'refused' };
+  if (r.status === 409) return { kind: 'conflict' };
+  if (r.status === 400 && /lease/.test(JSON.stringify(r.body))) return { kind: 'no_lease' };
+  if (r.status !== 200) return { kind: 'refused' };
+  const revision = attempt(() => parseCommitted(r.body));
+  return revision === null ? { kind: 'unknown' } : { kind: 'ok', revision };
+}
+
+/** A surprising answer counts as a failure of its call, never as a crash. */
+export function attempt<T>(parse: () => T): T | null {
+  try {
+    return parse();
+  } catch {
+    return null;
+  }
+}
--- /dev/null
+++ b/packages/controller/src/term.ts
@@ -0,0 +1,548 @@
+import {
+  splitTaskId,
+  taskId,
+  type Instant,
+  type JobSpec,
+  type MachineType,
+  type Order,
+  type StateEvent,
+  type StateItem,
+  type TaskReport,
+  type WorkerReport,
+} from '@tealdock/wire';
+import { NOTHING, need, plus, type Resources } from '@tealdock/scheduler';
+import {
+  LIVE_PREFIX,
+  MACHINE_PREFIX,
+  endedKey,
+  machineKey,
+  splitLiveKey,
+  type ChunkValue,
+  type EndedValue,
+  type LiveValue,
+  type MachineValue,
+} from './keys.js';
+import type { Leadership } from './leadership.js';
+import { LiveJob } from './live-job.js';
+import { Machine, bindingKey, type Binding } from './machine.js';
+import { PRIORITY } from './ports.js';
+import type { Runtime } from './runtime.js';
+import type { StateStore } from './state-store.js';
+
+const RETRY = 400;
+const WATCH_HOLD = 10_000;
+/** Clock drift of twice 0.05%, and a margin for answers under way. */
+const LEASE_STRETCH = 1.001;
+const LEASE_MARGIN = 1500;
+/** Attempts of one term to one task; their numbers never meet another term's. */
+const ATTEMPTS_A_TERM = 65_536;
+/** A booking that the machine does not come for is given to another one. */
+const BOOKING_PATIENCE = 1.8;
+const MACHINE_FAILURES = 3;
+const ASIDE = 120_000;
+const MOST_GONE = 2000;
+
+/**
+ * What one term of leadership knows: live jobs, machines and which task is bound
+ * to which machine. It is rebuilt from the state service and from reports that
+ * carry this term's token; a binding ends only on proof (docs/safety.md).
+ */
+export class Term {
+  readonly jobs = new Map<string, LiveJob>();
+  readonly machines = new Map<string, Machine>();
+  readonly acquired: Instant;
+  lastReport: Instant;
+  loaded = false;
+  closed = false;
+  /** Learnt ratio of actual to estimated run time, by class. */
+  readonly ratios = new Map<string, number>();
+  private readonly gone = new Set<string>();
+  private readonly early = new Map<string, WorkerReport>();
+  private lookups = 0;
+  private readonly joining = new Set<string>();
+
+  constructor(
+    private readonly rt: Runtime,
+    private readonly state: StateStore,
+    private readonly leadership: Leadership,
+    readonly token: number,
+  ) {
+    this.acquired = rt.now;
+    this.lastReport = rt.now;
+  }
+
+  /** The end of a worker's lease if its last answered report was sent at `sent`. */
+  leaseEnd(sent: Instant): Instant {
+    return sent + this.rt.settings.workerLease * LEASE_STRETCH + LEASE_MARGIN;
+  }
+
+  /** Placing waits until each machine of the roster is accounted for. */
+  get ready(): boolean {
+    if (!this.loaded || this.lookups > 0) return false;
+    for (const m of this.machines.values()) if (!m.resolved) return false;
+    return true;
+  }
+
+  start(): void {
+    this.load();
+    this.rt.every(1000, () => {
+      if (!this.closed) this.sweep();
+      return !this.closed;
+    });
+  }
+
+  close(): void {
+    this.closed = true;
+  }
+
+  // --- rebuild ---------------------------------------------------------------
+
+  private load(): void {
+    if (this.closed) return;
+    const retry = () => this.rt.after(RETRY, () => this.load());
+    this.state.readAll(MACHINE_PREFIX, PRIORITY.leader, (roster) => {
+      if (!roster) return retry();
+      this.state.readAll(LIVE_PREFIX, PRIORITY.leader, (live) => {
+        if (!live) return retry();
+        if (this.closed) return;
+        for (const item of roster.items) this.loadMachine(item);
+        this.loadJobs(live.items);
+        this.finishLoad(live.revision);
+      });
+    });
+  }
+
+  private finishLoad(revision: number): void {
+    this.loaded = true;
+    this.rt.env.log(
+      'info',
+      { token: this.token, jobs: this.jobs.size, machines: this.machines.size },
+      'term loaded',
+    );
+    for (const report of this.early.values()) this.absorb(report);
+    this.early.clear();
+    this.watch(revision);
+  }
+
+  private loadMachine(item: StateItem): void {
+    const id = item.key.slice(MACHINE_PREFIX.length);
+    const value = item.value as MachineValue;
+    const known = this.machines.get(id);
+    const m = known ?? new Machine(id, value.type, value.zone, value.spot);
+    m.inRoster = true;
+    m.returning = value.returning;
+    m.returnCommitted = value.returning;
+    m.resolved = m.lastCounted !== null;
+    this.machines.set(id, m);
+  }
+
+  private loadJobs(items: StateItem[]): void {
+    const chunks: { job: string; rest: string; value: unknown }[] = [];
+    for (const item of items) {
+      const at = splitLiveKey(item.key);
+      if (!at) continue;
+      if (at.rest === 'spec') this.addJob(at.job, item.value as LiveValue, item.version);
+      else chunks.push({ ...at, value: item.value });
+    }
+    for (const c of chunks) {
+      const index = Number(c.rest.split('/')[1]);
+      this.jobs.get(c.job)?.loadChunk(index, c.value as ChunkValue);
+    }
+  }
+
+  private addJob(id: string, value: LiveValue, version: number): void {
+    if (this.jobs.has(id)) return;
+    const age = Math.max(0, this.rt.today.getTime() - value.submitted);
+    this.jobs.set(id, new LiveJob(value.spec, version, this.rt.now - age));
+    this.rt.env.log('debug', { job: id, tasks: value.spec.taskCount }, 'job live');
+  }
+
+  // --- news of jobs ----------------------------------------------------------
+
+  private watch(revision: number): void {
+    if (this.closed) return;
+    this.state.watch(LIVE_PREFIX, revision, WATCH_HOLD, (watched) => {
+      if (this.closed) return;
+      if (watched.kind === 'failed') return this.rt.after(RETRY, () => this.watch(revision));
+      if (watched.kind === 'too_old') return this.reread();
+      for (const event of watched.events) this.jobEvent(event);
+      this.watch(watched.revision);
+    });
+  }
+
+  /** The watch fell too far behind: compare with everything that is live now. */
+  private reread(): void {
+    if (this.closed) return;
+    this.state.readAll(LIVE_PREFIX, PRIORITY.leader, (live) => {
+      if (this.closed) return;
+      if (!live) return this.rt.after(RETRY, () => this.reread());
+      const specs = live.items.filter((i) => i.key.endsWith('/spec'));
+      const alive = new Set(specs.map((i) => splitLiveKey(i.key)?.job));
+      for (const id of [...this.jobs.keys()]) if (!alive.has(id)) this.endJob(id);
+      for (const i of specs) this.addJob(splitLiveKey(i.key)!.job, i.value as LiveValue, i.version);
+      this.watch(live.revision);
+    });
+  }
+
+  private jobEvent(event: StateEvent): void {
+    const at = splitLiveKey(event.key);
+    if (at?.rest !== 'spec') return;
+    if (event.removed) this.endJob(at.job);
+    else this.addJob(at.job, event.value as LiveValue, event.version);
+  }
+
+  /** A job that is no longer live: by its own end, or cancelled on any node. */
+  endJob(id: string): void {
+    const job = this.jobs.get(id);
+    if (!job) return;
+    this.jobs.delete(id);
+    this.rt.env.log('info', { job: id, done: job.doneCount }, 'job ended');
+    for (const b of job.bound.values()) this.discard(b, 'job ended');
+  }
+
+  /** No longer wanted: an unsent booking goes at once, anything else is killed and counted. */
+  private discard(binding: Binding, reason: string): void {
+    if (binding.phase === 'booked') return this.unbind(binding);
+    binding.foreign = true;
+    binding.stop = { grace: 0, reason };
+  }
+
+  // --- reports ---------------------------------------------------------------
+
+  /** Takes in a report; the answer's orders come from `ordersFor`. */
+  report(report: WorkerReport): Order[] {
+    this.lastReport = this.rt.now;
+    if (this.gone.has(report.machine)) return [];
+    const m = this.machineOf(report);
+    // Its lease is renewed by the answer, whatever the report is worth otherwise.
+    m.lastHeard = this.rt.now;
+    if (!this.loaded) {
+      if (report.token === this.token) this.early.set(report.machine, report);
+      return [];
+    }
+    // Tasks of a report sent before the worker saw this token may be outdated by
+    // a start of the term before; a late report is outdated by a newer one.
+    if (report.token !== this.token || !m.isNews(report)) return [];
+    this.absorb(report);
+    return this.ordersFor(m);
+  }
+
+  private machineOf(report: WorkerReport): Machine {
+    let m = this.machines.get(report.machine);
+    if (!m) {
+      m = new Machine(report.machine, report.type, report.zone, report.spot);
+      // Not in the roster, so no term has ever sent a start to it.
+      m.resolved = true;
+      this.machines.set(m.id, m);
+    }
+    return m;
+  }
+
+  private absorb(report: WorkerReport): void {
+    const m = this.machineOf(report);
+    if (report.session > m.session) this.endAll(m, 'session ended');
+    m.session = report.session;
+    m.seq = report.seq;
+    m.addr = report.addr;
+    m.lastHeard ??= this.rt.now;
+    m.lastCounted = this.rt.now;
+    m.noticeUntil = report.notice === null ? null : this.rt.now + report.notice;
+    m.resolved = true;
+    const listed = new Set(report.tasks.map((t) => bindingKey(t.task, t.attempt)));
+    m.exited = report.tasks.filter((t) => t.state === 'exited');
+    for (const t of report.tasks) this.absorbTask(m, t);
+    for (const b of [...m.bindings.values()]) {
+      const known = b.phase !== 'booked';
+      if (known && !listed.has(bindingKey(b.task, b.attempt))) this.end(b, 'not on the machine');
+    }
+    this.join(m);
+  }
+
+  private absorbTask(m: Machine, t: TaskReport): void {
+    const bound = m.bindings.get(bindingKey(t.task, t.attempt));
+    if (t.state === 'exited') return this.absorbExit(m, t, bound);
+    const b = bound ?? this.adopt(m, t);
+    b.phase = 'seen';
+    if (t.state !== 'fetching') this.noteStart(m, b);
+    b.state = t.state;
+  }
+
+  private noteStart(m: Machine, b: Binding): void {
+    b.runningSince ??= this.rt.now;
+    const job = this.jobs.get(b.job);
+    if (job) m.noteImage(job.spec.image);
+  }
+
+  private absorbExit(m: Machine, t: TaskReport, bound: Binding | undefined): void {
+    const at = splitTaskId(t.task);
+    const job = at ? this.jobs.get(at.job) : undefined;
+    if (bound) this.endExited(m, bound, t);
+    if (!job || !at || at.index >= job.spec.taskCount || t.reason !== 'done') return;
+    job.markDone(at.index);
+    const other = job.bound.get(at.index);
+    if (other) this.discard(other, 'done elsewhere');
+  }
+
+  private endExited(m: Machine, b: Binding, t: TaskReport): void {
+    const job = b.foreign ? undefined : this.jobs.get(b.job);
+    if (t.reason === 'done') {
+      m.failures = 0;
+      if (job) this.learn(job, b);
+    } else if (t.reason === 'error' || t.reason === 'unknown') {
+      this.noteFailure(m, job, t);
+    }
+    if (job && t.reason === 'done') job.markDone(b.index);
+    this.end(b, t.reason ?? 'exited');
+  }
+
+  private learn(job: LiveJob, b: Binding): void {
+    job.failures = 0;
+    if (b.runningSince === null || job.spec.estimate <= 0) return;
+    const ratio = (this.rt.now - b.runningSince) / job.spec.estimate;
+    const known = this.ratios.get(job.spec.jobClass) ?? 1;
+    this.ratios.set(job.spec.jobClass, known * 0.9 + Math.min(ratio, 10) * 0.1);
+  }
+
+  /** Mostly the machine is at fault; a job with a mistake fails on every machine. */
+  private noteFailure(m: Machine, job: LiveJob | undefined, t: TaskReport): void {
+    this.rt.env.log('info', { machine: m.id, task: t.task, reason: t.reason }, 'task failed');
+    if (t.reason === 'error' && (job?.failures ?? 0) < MACHINE_FAILURES) m.failures++;
+    if (m.failures >= MACHINE_FAILURES) m.asideUntil = this.rt.now + ASIDE;
+    if (!job) return;
+    job.failures++;
+    if (job.failures < MACHINE_FAILURES) return;
+    job.backoffUntil =
+      this.rt.now + Math.min(60_000, 1000 * 2 ** (job.failures - MACHINE_FAILURES));
+  }
+
+  /** A task found on a machine without a binding of this term. */
+  private adopt(m: Machine, t: TaskReport): Binding {
+    const at = splitTaskId(t.task);
+    const job = at ? this.jobs.get(at.job) : undefined;
+    const wanted =
+      job !== undefined &&
+      at !== null &&
+      at.index < job.spec.taskCount &&
+      !job.isDone(at.index) &&
+      !job.bound.has(at.index);
+    const b: Binding = {
+      task: t.task,
+      job: at?.job ?? t.task,
+      index: at?.index ?? 0,
+      attempt: t.attempt,
+      machine: m.id,
+      team: job?.spec.team ?? '',
+      size: job ? need(job.spec) : NOTHING,
+      phase: 'seen',
+      bookedAt: this.rt.now,
+      sentSession: 0,
+      sentSeq: 0,
+      state: null,
+      runningSince: null,
+      stop: wanted ? null : { grace: 0, reason: 'not wanted' },
+      foreign: !wanted,
+    };
+    m.bindings.set(bindingKey(b.task, b.attempt), b);
+    if (wanted) {
+      job.bound.set(b.index, b);
+      job.open.delete(b.index);
+    }
+    if (!job) this.lookUp(b);
+    return b;
+  }
+
+  /** What an ended job's task takes has to be known before anything is placed. */
+  private lookUp(b: Binding): void {
+    this.lookups++;
+    this.state.get(endedKey(b.job), PRIORITY.leader, (got) => {
+      this.lookups--;
+      if (this.closed) return;
+      if (got.kind === 'failed') return this.rt.after(RETRY, () => this.lookUp(b));
+      if (got.kind === 'found') this.fill(b, (got.item.value as EndedValue).spec);
+    });
+  }
+
+  private fill(b: Binding, spec: JobSpec): void {
+    b.team = spec.team;
+    b.size = need(spec);
+  }
+
+  /** Orders that the worker's newest report calls for; starts leave only here. */
+  private ordersFor(m: Machine): Order[] {
+    const orders: Order[] = [];
+    for (const t of m.exited) {
+      if (this.forgettable(t)) orders.push({ op: 'forget', task: t.task, attempt: t.attempt });
+    }
+    for (const b of m.bindings.values()) {
+      const stop = this.stopOrder(b);
+      if (stop) orders.push(stop);
+    }
+    if (!this.canStart(m)) return orders;
+    for (const b of m.bindings.values()) {
+      if (b.phase !== 'booked') continue;
+      b.phase = 'sent';
+      b.sentSession = m.session;
+      b.sentSeq = m.seq;
+      orders.push({ op: 'start', task: b.task, attempt: b.attempt });
+      this.rt.env.log('debug', { task: b.task, attempt: b.attempt, machine: m.id }, 'start sent');
+    }
+    return orders;
+  }
+
+  stopOrder(b: Binding): Order | null {
+    if (!b.stop || b.phase !== 'seen') return null;
+    if (b.state === 'saving' && b.stop.grace > 0) return null;
+    return { op: 'stop', task: b.task, attempt: b.attempt, grace: b.stop.grace };
+  }
+
+  private forgettable(t: TaskReport): boolean {
+    const at = splitTaskId(t.task);
+    const job = at ? this.jobs.get(at.job) : undefined;
+    if (!job || !at || t.reason !== 'done') return true;
+    return job.isDone(at.index) && !job.uncommitted.has(at.index);
+  }
+
+  private canStart(m: Machine): boolean {
+    return m.inRoster && !m.returning && this.ready && this.leadership.held() !== null;
+  }
+
+  // --- bindings --------------------------------------------------------------
+
+  book(job: LiveJob, index: number, m: Machine): void {
+    const count = job.nextAttempt(index);
+    if (count >= ATTEMPTS_A_TERM) return this.leadership.resign('attempt numbers used up');
+    const b: Binding = {
+      task: taskId(job.id, index),
+      job: job.id,
+      index,
+      attempt: this.token * ATTEMPTS_A_TERM + count,
+      machine: m.id,
+      team: job.spec.team,
+      size: need(job.spec),
+      phase: 'booked',
+      bookedAt: this.rt.now,
+      sentSession: 0,
+      sentSeq: 0,
+      state: null,
+      runningSince: null,
+      stop: null,
+      foreign: false,
+    };
+    m.bindings.set(bindingKey(b.task, b.attempt), b);
+    job.open.delete(index);
+    job.bound.set(index, b);
+  }
+
+  private unbind(b: Binding): void {
+    this.machines.get(b.machine)?.bindings.delete(bindingKey(b.task, b.attempt));
+    const job = this.jobs.get(b.job);
+    if (job?.bound.get(b.index) === b) {
+      job.bound.delete(b.index);
+      job.giveBack(b.index);
+    }
+  }
+
+  /** Only with proof that the task is not on the machine any more. */
+  private end(b: Binding, proof: string): void {
+    this.rt.env.log(
+      'debug',
+      { task: b.task, attempt: b.attempt, machine: b.machine, proof },
+      'binding ended',
+    );
+    this.unbind(b);
+  }
+
+  private endAll(m: Machine, proof: string): void {
+    for (const b of [...m.bindings.values()]) if (b.phase !== 'booked') this.end(b, proof);
+  }
+
+  unbookAll(m: Machine): void {
+    for (const b of [...m.bindings.values()]) if (b.phase === 'booked') this.unbind(b);
+  }
+
+  /** Everything bound to a team, the unproven too. */
+  teamUse(team: string): Resources {
+    let sum = NOTHING;
+    for (const m of this.machines.values()) {
+      for (const b of m.bindings.values()) if (b.team === team) sum = plus(sum, b.size);
+    }
+    return sum;
+  }
+
+  zonesOf(job: LiveJob): Map<string, number> {
+    const zones = new Map<string, number>();
+    for (const m of this.machines.values()) {
+      for (const b of m.bindings.values()) {
+        if (b.job === job.id) zones.set(m.zone, (zones.get(m.zone) ?? 0) + 1);
+      }
+    }
+    return zones;
+  }
+
+  // --- time ------------------------------------------------------------------
+
+  private sweep(): void {
+    for (const m of this.machines.values()) {
+      m.accumulate(1000);
+      this.checkLease(m);
+      const patience = this.rt.settings.reportEvery * BOOKING_PATIENCE;
+      const silent = this.rt.now - (m.lastCounted ?? this.acquired) > patience;
+      if (silent || m.returning || m.noticeUntil !== null) this.unbookAll(m);
+      const idle = m.bindings.size === 0;
+      m.idleSince = idle ? (m.idleSince ?? this.rt.now) : null;
+    }
+  }
+
+  /** A worker without an answer for its whole lease has killed all its tasks. */
+  private checkLease(m: Machine): void {
+    if (!this.loaded) return;
+    if (this.rt.now < this.leaseEnd(m.lastHeard ?? this.acquired)) return;
+    if (!m.resolved || m.bindings.size > 0) {
+      this.rt.env.log('info', { machine: m.id }, 'lease of a silent machine ran out');
+    }
+    this.endAll(m, 'lease ran out');
+    m.resolved = true;
+  }
+
+  /** The roster gets a machine before the machine gets its first start. */
+  private join(m: Machine): void {
+    if (m.inRoster || this.joining.has(m.id)) return;
+    this.joining.add(m.id);
+    const value: MachineValue = {
+      type: m.type,
+      zone: m.zone,
+      spot: m.spot,
+      returning: m.returning,
+    };
+    const write = { put: machineKey(m.id), value };
+    this.state.commit([this.leadership.guard()], [write], PRIORITY.leader, (committed) => {
+      this.joining.delete(m.id);
+      if (committed.kind === 'ok') m.inRoster = true;
+    });
+  }
+
+  /** The cloud answered 200 to its return: the machine and all on it are gone. */
+  machineGone(id: string): void {
+    const m = this.machines.get(id);
+    this.remember(id);
+    if (!m) return;
+    this.unbookAll(m);
+    this.endAll(m, 'returned to the cloud');
+    this.machines.delete(id);
+  }
+
+  isGone(id: string): boolean {
+    return this.gone.has(id);
+  }
+
+  private remember(id: string): void {
+    this.gone.add(id);
+    const oldest = this.gone.values().next().value;
+    if (this.gone.size > MOST_GONE && oldest !== undefined) this.gone.delete(oldest);
+  }
+}
+
+/** Capacity of a machine by the catalog; nothing is placed on an unknown type. */
+export function typeOf(types: MachineType[], m: Machine): MachineType | undefined {
+  return types.find((t) => t.name === m.type);
+}
--- /dev/null
+++ b/packages/scheduler/src/index.ts
@@ -0,0 +1,6 @@
+export * from './model.js';
+export * from './front.js';
+export * from './rules.js';
+export * from './order.js';
+export * from './preempt.js';
+export * from './fleet.js';
--- /dev/null
+++ b/packages/scheduler/src/model.ts
@@ -0,0 +1,56 @@
+import type { JobSpec } from '@tealdock/wire';
+
+export interface Resources {
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+}
+
+/** Tolerance for sums of decimal amounts. */
+const EPSILON = 1e-6;
+
+export const need = (spec: JobSpec): Resources => ({
+  cpus: spec.cpus,
+  gpus: spec.gpus,
+  memoryGb: spec.memoryGb,
+});
+
+export const fits = (wanted: Resources, free: Resources): boolean =>
+  wanted.cpus <= free.cpus + EPSILON &&
+  wanted.gpus <= free.gpus + EPSILON &&
+  wanted.memoryGb <= free.memoryGb + EPSILON;
+
+export const plus = (a: Resources, b: Resources): Resources => ({
+  cpus: a.cpus + b.cpus,
+  gpus: a.gpus + b.gpus,
+  memoryGb: a.memoryGb + b.memoryGb,
+});
+
+export const minus = (a: Resources, b: Resources): Resources => ({
+  cpus: a.cpus - b.cpus,
+  gpus: a.gpus - b.gpus,
+  memoryGb: a.memoryGb - b.memoryGb,
+});
+
+export const NOTHING: Resources = { cpus: 0, gpus: 0, memoryGb: 0 };
+
+/** How many tasks of this size fit into a room. */
+export function slots(wanted: Resources, room: Resources): number {
+  const ratio = (w: number, r: number) => (w <= 0 ? Infinity : Math.floor((r + EPSILON) / w));
+  const count = Math.min(
+    ratio(wanted.cpus, room.cpus),
+    ratio(wanted.gpus, room.gpus),
+    ratio(wanted.memoryGb, room.memoryGb),
+  );
+  return Math.max(0, Math.min(count, 1000));
+}
+
+/** The largest booked share over the kinds of resource a machine has. */
+export function bookedShare(total: Resources, free: Resources): number {
+  const share = (t: number, f: number) => (t <= 0 ? 0 : (t - f) / t);
+  return Math.max(
+    share(total.cpus, free.cpus),
+    share(total.gpus, free.gpus),
+    share(total.memoryGb, free.memoryGb),
+  );
+}
--- /dev/null
+++ b/packages/scheduler/src/rules.ts
@@ -0,0 +1,46 @@
+import type { JobSpec, MachineType, Team } from '@tealdock/wire';
+import { fits, need, type Resources } from './model.js';
+
+/** Where a machine stands and what kind it is. */
+export interface Place {
+  type: string;
+  zone: string;
+  spot: boolean;
+}
+
+/** Bound tasks of one job by zone, the unproven ones included. */
+export type ZoneCounts = ReadonlyMap<string, number>;
+
+export function typeAllowed(spec: JobSpec, type: string): boolean {
+  return spec.types === null || spec.types.includes(type);
+}
+
+/** Type, zone and kind, given the job's other tasks at this moment. */
+export function placeAllowed(spec: JobSpec, place: Place, bound: ZoneCounts): boolean {
+  if (!typeAllowed(spec, place.type)) return false;
+  if (place.spot && !spec.spot) return false;
+  if (spec.zone !== null && spec.zone !== place.zone) return false;
+  if (spec.oneZone && [...bound].some(([zone, n]) => n > 0 && zone !== place.zone)) return false;
+  if (!spec.spread) return true;
+  return (bound.get(place.zone) ?? 0) + 1 <= Math.ceil(spec.taskCount / 2);
+}
+
+export function withinLimit(team: Team, used: Resources, wanted: Resources): boolean {
+  return (
+    used.cpus + wanted.cpus <= team.cpusMax + 1e-6 && used.gpus + wanted.gpus <= team.gpusMax + 1e-6
+  );
+}
+
+/** Why a job can never run, or null. */
+export function whyNever(spec: JobSpec, teams: Team[], types: MachineType[]): string | null {
+  const team = teams.find((t) => t.name === spec.team);
+  if (!team) return 'unknown team';
+  if (spec.cpus > team.cpusMax || spec.gpus > team.gpusMax) return "over the team's limit";
+  const possible = types.some(
+    (t) =>
+      typeAllowed(spec, t.name) &&
+      fits(need(spec), t) &&
+      (spec.zone === null || t.zones.includes(spec.zone)),
+  );
+  return possible ? null : 'no allowed machine type can hold a task';
+}
--- /dev/null
+++ b/packages/wire/src/domain.ts
@@ -0,0 +1,102 @@
+declare global {
+  /** The standard's type for steady instants and durations; Node's own typings leave it out. */
+  type DOMHighResTimeStamp = number;
+}
+
+/** Standard terms used everywhere inside tealdock. Durations are milliseconds. */
+export type Duration = DOMHighResTimeStamp;
+/** A reading of the steady clock. */
+export type Instant = DOMHighResTimeStamp;
+
+export type Priority = 'production' | 'high' | 'normal' | 'low';
+
+export interface JobSpec {
+  id: string;
+  jobClass: string;
+  team: string;
+  priority: Priority;
+  taskCount: number;
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+  image: string;
+  imageGb: number;
+  types: string[] | null;
+  zone: string | null;
+  oneZone: boolean;
+  spread: boolean;
+  spot: boolean;
+  estimate: Duration;
+  checkpoint: Duration;
+  save: Duration;
+  deadline: Duration | null;
+}
+
+export type JobState = 'queued' | 'running' | 'done' | 'cancelled';
+
+export interface JobView {
+  id: string;
+  state: JobState;
+  done?: number;
+  running?: number;
+}
+
+export type TaskState = 'fetching' | 'running' | 'saving' | 'exited';
+export type ExitReason = 'done' | 'stopped' | 'error' | 'no_room' | 'busy' | 'unknown';
+
+export interface TaskReport {
+  task: string;
+  attempt: number;
+  state: TaskState;
+  reason: ExitReason | null;
+  saved: boolean;
+}
+
+export interface WorkerReport {
+  machine: string;
+  addr: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  session: number;
+  seq: number;
+  token: number;
+  notice: Duration | null;
+  tasks: TaskReport[];
+}
+
+export type Order =
+  | { op: 'start'; task: string; attempt: number }
+  | { op: 'stop'; task: string; attempt: number; grace: Duration }
+  | { op: 'forget'; task: string; attempt: number };
+
+export interface MachineType {
+  name: string;
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+  cacheGb: number;
+  fetchGbPerS: number;
+  price: number;
+  spotPrice: number;
+  boot: Duration;
+  zones: string[];
+}
+
+export interface ListedMachine {
+  id: string;
+  addr: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  state: 'booting' | 'running' | 'failed';
+  age: Duration;
+}
+
+/** `run-000412/3`: the third task of a job. */
+export const taskId = (job: string, index: number): string => `${job}/${index}`;
+
+export function splitTaskId(task: string): { job: string; index: number } | null {
+  const match = /^(.+)\/(\d{1,6})$/.exec(task);
+  return match ? { job: match[1]!, index: Number(match[2]) } : null;
+}
--- /dev/null
+++ b/packages/wire/src/jobs.ts
@@ -0,0 +1,119 @@
+import { z } from 'zod';
+import { WireError, millis } from './body.js';
+import type { JobSpec, JobView, Priority } from './domain.js';
+
+export const JOBS_PATH = '/api/jobs';
+export const MAX_TASKS = 100_000;
+
+const PRIORITIES: Record<string, Priority> = {
+  prod: 'production',
+  urgent: 'high',
+  normal: 'normal',
+  idle: 'low',
+};
+
+const name = z.string().min(1).max(200);
+const amount = z.number().finite().nonnegative();
+const flag = z.boolean();
+
+const submission = z.object({
+  ref: z.string(),
+  jobclass: name,
+  owner: name,
+  shape: z.literal('array'),
+  urgency: z.enum(['prod', 'urgent', 'normal', 'idle']),
+  batch: z.number().int().min(1).max(MAX_TASKS),
+  cpus: amount,
+  accelerators: amount,
+  mem_gb: amount,
+  bundle: name,
+  image_gb: amount,
+  flavours: z.array(name).max(200).nullish(),
+  hall: name.nullish(),
+  same_place: flag,
+  apart: flag,
+  spare: flag,
+  expected_s: amount,
+  snapshot_s: amount,
+  flush_s: amount,
+  due_s: amount.nullish(),
+});
+
+/** Job ids always have one form; anything else names no job. */
+export const isJobId = (text: unknown): text is string =>
+  typeof text === 'string' && /^run-\d{1,60}$/.test(text);
+
+/** The id in a submission, even when the rest of it is malformed. */
+export function submissionId(body: unknown): string | null {
+  const ref = (body as { ref?: unknown } | null)?.ref;
+  return isJobId(ref) ? ref : null;
+}
+
+export function parseSubmission(body: unknown): JobSpec {
+  const parsed = submission.safeParse(body);
+  if (!parsed.success) throw new WireError(issueText(parsed.error));
+  const s = parsed.data;
+  if (!isJobId(s.ref)) throw new WireError('ref: not a job id');
+  return {
+    id: s.ref,
+    jobClass: s.jobclass,
+    team: s.owner,
+    priority: PRIORITIES[s.urgency]!,
+    taskCount: s.batch,
+    cpus: s.cpus,
+    gpus: s.accelerators,
+    memoryGb: s.mem_gb,
+    image: s.bundle,
+    imageGb: s.image_gb,
+    types: s.flavours ?? null,
+    zone: s.hall ?? null,
+    oneZone: s.same_place,
+    spread: s.apart,
+    spot: s.spare,
+    estimate: millis(s.expected_s),
+    checkpoint: millis(s.snapshot_s),
+    save: millis(s.flush_s),
+    deadline: s.due_s == null ? null : millis(s.due_s),
+  };
+}
+
+/** The inverse of `parseSubmission`, for clients. */
+export function renderSubmission(spec: JobSpec): Record<string, unknown> {
+  const urgency = Object.keys(PRIORITIES).find((key) => PRIORITIES[key] === spec.priority);
+  return {
+    ref: spec.id,
+    jobclass: spec.jobClass,
+    owner: spec.team,
+    shape: 'array',
+    urgency,
+    batch: spec.taskCount,
+    cpus: spec.cpus,
+    accelerators: spec.gpus,
+    mem_gb: spec.memoryGb,
+    bundle: spec.image,
+    image_gb: spec.imageGb,
+    flavours: spec.types,
+    hall: spec.zone,
+    same_place: spec.oneZone,
+    apart: spec.spread,
+    spare: spec.spot,
+    expected_s: spec.estimate / 1000,
+    snapshot_s: spec.checkpoint / 1000,
+    flush_s: spec.save / 1000,
+    due_s: spec.deadline === null ? null : spec.deadline / 1000,
+  };
+}
+
+export function renderJobView(view: JobView): Record<string, unknown> {
+  return {
+    ref: view.id,
+    status: view.state === 'cancelled' ? 'aborted' : view.state,
+    ...(view.done === undefined ? {} : { done: view.done, running: view.running ?? 0 }),
+  };
+}
+
+export function issueText(error: z.ZodError): string {
+  const issue = error.issues[0];
+  const path = issue?.path.map(String).join('.') ?? '';
+  return `${path || 'value'}: ${issue?.message ?? 'invalid'}`;
+}
--- /dev/null
+++ b/packages/wire/src/peers.ts
@@ -0,0 +1,74 @@
+import avsc from 'avsc';
+
+/** What controllers tell each other; see docs/design.md, "Between controllers". */
+export type PeerMessage =
+  | { kind: 'beat'; member: string; leader: string; token: number; stateOk: boolean }
+  | { kind: 'ask'; id: number; method: string; path: string; body: Buffer }
+  | { kind: 'answer'; id: number; status: number; body: Buffer };
+
+const beat = avsc.Type.forSchema({
+  type: 'record',
+  name: 'Beat',
+  fields: [
+    { name: 'member', type: 'string' },
+    { name: 'leader', type: 'string' },
+    { name: 'token', type: 'long' },
+    { name: 'stateOk', type: 'boolean' },
+  ],
+});
+const ask = avsc.Type.forSchema({
+  type: 'record',
+  name: 'Ask',
+  fields: [
+    { name: 'id', type: 'long' },
+    { name: 'method', type: 'string' },
+    { name: 'path', type: 'string' },
+    { name: 'body', type: 'bytes' },
+  ],
+});
+const answer = avsc.Type.forSchema({
+  type: 'record',
+  name: 'Answer',
+  fields: [
+    { name: 'id', type: 'long' },
+    { name: 'status', type: 'int' },
+    { name: 'body', type: 'bytes' },
+  ],
+});
+const TYPES = { beat, ask, answer } as const;
+const KINDS = ['beat', 'ask', 'answer'] as const;
+const HEADER_BYTES = 5;
+export const MAX_PEER_FRAME = 256 * 1024;
+
+/** A frame: four bytes of length, one of kind, then the Avro record. */
+export function packPeer(message: PeerMessage): Buffer {
+  const body = TYPES[message.kind].toBuffer(message);
+  const frame = Buffer.alloc(HEADER_BYTES + body.length);
+  frame.writeUInt32BE(body.length, 0);
+  frame.writeUInt8(KINDS.indexOf(message.kind), 4);
+  body.copy(frame, HEADER_BYTES);
+  return frame;
+}
+
+/** Cuts a stream of bytes into messages; throws on anything malformed. */
+export class PeerDecoder {
+  private rest: Buffer = Buffer.alloc(0);
+
+  push(chunk: Buffer): PeerMessage[] {
+    this.rest = Buffer.concat([this.rest, chunk]);
+    const messages: PeerMessage[] = [];
+    for (;;) {
+      if (this.rest.length < HEADER_BYTES) return messages;
+      const length = this.rest.readUInt32BE(0);
+      if (length > MAX_PEER_FRAME) throw new Error('peer frame too long');
+      if (this.rest.length < HEADER_BYTES + length) return messages;
+      const kind = KINDS[this.rest.readUInt8(4)];
+      if (!kind) throw new Error('unknown peer frame');
+      const record = TYPES[kind].fromBuffer(
+        this.rest.subarray(HEADER_BYTES, HEADER_BYTES + length),
+      );
+      messages.push({ kind, ...record } as PeerMessage);
+      this.rest = this.rest.subarray(HEADER_BYTES + length);
+    }
+  }
+}
--- /dev/null
+++ b/packages/wire/src/workers.ts
@@ -0,0 +1,86 @@
+import { z } from 'zod';
+import { WireError, millis, seconds } from './body.js';
+import { issueText } from './jobs.js';
+import type { ExitReason, Order, TaskState, WorkerReport } from './domain.js';
+
+export const REPORT_PATH = '/hello';
+export const COMMANDS_PATH = '/commands';
+
+const STATES: Record<string, TaskState> = {
+  pulling: 'fetching',
+  running: 'running',
+  saving: 'saving',
+  exited: 'exited',
+};
+const REASONS: Record<string, ExitReason> = {
+  done: 'done',
+  stopped: 'stopped',
+  error: 'error',
+  no_room: 'no_room',
+  in_use: 'busy',
+  no_such: 'unknown',
+};
+
+const count = z.number().int().nonnegative();
+const report = z.object({
+  host: z.string().min(1).max(150),
+  addr: z.string().min(1).max(200),
+  flavour: z.string().min(1),
+  hall: z.string().min(1),
+  spare: z.boolean(),
+  shift: count,
+  tally: count,
+  fence: count,
+  warning_s: z.number().nullish(),
+  batch: z.array(
+    z.object({
+      piece: z.string().min(1).max(200),
+      try_no: count,
+      status: z.enum(['pulling', 'running', 'saving', 'exited']),
+      reason: z.string().nullish(),
+      saved: z.boolean().nullish(),
+    }),
+  ),
+});
+
+export function parseReport(body: unknown): WorkerReport {
+  const parsed = report.safeParse(body);
+  if (!parsed.success) throw new WireError(issueText(parsed.error));
+  const r = parsed.data;
+  return {
+    machine: r.host,
+    addr: r.addr,
+    type: r.flavour,
+    zone: r.hall,
+    spot: r.spare,
+    session: r.shift,
+    seq: r.tally,
+    token: r.fence,
+    notice: r.warning_s == null ? null : millis(r.warning_s),
+    tasks: r.batch.map((t) => ({
+      task: t.piece,
+      attempt: t.try_no,
+      state: STATES[t.status]!,
+      // A reason this version does not know is a failure like any other.
+      reason: t.status === 'exited' ? (REASONS[t.reason ?? ''] ?? 'error') : null,
+      saved: t.saved ?? false,
+    })),
+  };
+}
+
+function renderOrder(order: Order): Record<string, unknown> {
+  const base = { piece: order.task, try_no: order.attempt };
+  if (order.op === 'stop') return { verb: 'kill', ...base, wind_down_s: seconds(order.grace) };
+  return { verb: order.op, ...base };
+}
+
+export function renderReportAnswer(token: number, orders: Order[]): Record<string, unknown> {
+  return { fence: token, orders: orders.map(renderOrder) };
+}
+
+export function renderCommands(token: number, session: number, orders: Order[]) {
+  return { fence: token, shift: session, orders: orders.map(renderOrder) };
+}
+
+export const renderRedirect = (leader: string | null): Record<string, unknown> =>
+  leader === null ? {} : { upstream: leader };
