--- a/packages/wire/src/state.ts
+++ b/packages/wire/src/state.ts
@@ -36,7 +36,7 @@
 const change = z.object({
   write: z.string().optional(),
   delete: z.string().optional(),
-  v: z.unknown(),
+  v: z.unknown().optional(),
   stamp: count,
 });
 const changes = z.object({ epoch: count, news: z.array(change) });
