--- a/packages/controller/src/live-job.ts
+++ b/packages/controller/src/live-job.ts
@@ -26,6 +26,8 @@
   /** First instant of this term at which a task found no room. */
   starvedSince: Instant | null = null;
   shownRunning = 0;
+  /** The zone that was found to fit all of a gang that may use only one. */
+  gangZone: string | null = null;
   private readonly bits: Uint8Array;
   private readonly returned: number[] = [];
   private readonly attempts = new Map<number, number>();
@@ -101,7 +103,8 @@
 
   /** Opens windows for released tasks: independent tasks are released at once. */
   release(now: Instant): void {
-    while (this.open.size < MOST_OPEN) {
+    const most = this.spec.kind === 'gang' ? Infinity : MOST_OPEN;
+    while (this.open.size < most) {
       const index = this.returned.pop() ?? this.takeNext();
       if (index === undefined) return;
       if (!this.isDone(index) && !this.bound.has(index))
--- a/packages/controller/src/placer.ts
+++ b/packages/controller/src/placer.ts
@@ -10,6 +10,7 @@
   placeAllowed,
   plus,
   rank,
+  slots,
   withinLimit,
   type Offer,
   type Ranked,
@@ -115,6 +116,7 @@
   }
 
   private placeJob(job: LiveJob, desks: Desk[]): void {
+    if (job.spec.kind === 'gang' && !this.gangFits(job, desks)) return;
     for (const task of [...job.open.values()]) {
       if (!this.windowCloses(task)) continue;
       if (!this.withinTeamLimit(job)) return;
@@ -132,6 +134,25 @@
     }
   }
 
+  /** A gang is booked only when one window fits all its tasks; nothing is held for part of it. */
+  private gangFits(job: LiveJob, desks: Desk[]): boolean {
+    job.gangZone = null;
+    const allowed = this.allowedDesks(job, desks);
+    const zones = job.spec.oneZone ? [...new Set(allowed.map((d) => d.machine.zone))] : [null];
+    const team = this.rt.settings.teams.find((t) => t.name === job.spec.team);
+    const rest = { cpus: job.spec.cpus * job.open.size, gpus: job.spec.gpus * job.open.size };
+    if (!team || !withinLimit(team, this.term.teamUse(team.name), { ...rest, memoryGb: 0 })) {
+      return false;
+    }
+    return zones.some((zone) => {
+      const inZone = allowed.filter((d) => zone === null || d.machine.zone === zone);
+      const room = inZone.reduce((sum, d) => sum + slots(need(job.spec), d.free), 0);
+      if (room < job.open.size) return false;
+      if (zone !== null) job.gangZone = zone;
+      return true;
+    });
+  }
+
   /** λ is over, or it may close early since standing volunteers are known. */
   private windowCloses(task: OpenTask): boolean {
     const open = this.rt.now - task.opened;
@@ -161,7 +182,11 @@
 
   private allowedDesks(job: LiveJob, desks: Desk[]): Desk[] {
     const zones = this.term.zonesOf(job);
-    return desks.filter((d) => placeAllowed(job.spec, d.machine, zones));
+    const wanted = job.bound.size > 0 ? null : job.gangZone;
+    return desks.filter(
+      (d) =>
+        placeAllowed(job.spec, d.machine, zones) && (wanted === null || d.machine.zone === wanted),
+    );
   }
 
   private volunteerFor(job: LiveJob, desks: Desk[]): Desk | undefined {
--- a/packages/scheduler/src/rules.ts
+++ b/packages/scheduler/src/rules.ts
@@ -35,7 +35,10 @@
 export function whyNever(spec: JobSpec, teams: Team[], types: MachineType[]): string | null {
   const team = teams.find((t) => t.name === spec.team);
   if (!team) return 'unknown team';
-  if (spec.cpus > team.cpusMax || spec.gpus > team.gpusMax) return "over the team's limit";
+  const atOnce = spec.kind === 'array' ? 1 : spec.taskCount;
+  if (spec.cpus * atOnce > team.cpusMax || spec.gpus * atOnce > team.gpusMax) {
+    return "over the team's limit";
+  }
   const possible = types.some(
     (t) =>
       typeAllowed(spec, t.name) &&
--- /dev/null
+++ b/packages/testing/src/fake-state.ts
@@ -0,0 +1,160 @@
+import type { CallResult } from '@tealdock/controller';
+
+interface Entry {
+  v: unknown;
+  stamp: number;
+  lease: number | null;
+}
+interface Lease {
+  life: number;
+  ends: number;
+}
+interface Watcher {
+  prefix: string;
+  after: number;
+  until: number;
+  done: (r: CallResult) => void;
+}
+interface News {
+  epoch: number;
+  event: { write?: string; delete?: string; v?: unknown; stamp: number };
+}
+interface Commit {
+  guards: { key: string; stamp: number }[];
+  writes: ({ write: string; v: unknown; tenancy?: number } | { delete: string })[];
+}
+
+const answer = (status: number, body: unknown): CallResult => ({ kind: 'answer', status, body });
+const clone = <T>(value: T): T => structuredClone(value);
+
+/** The state service in memory: keys, leases, watches, and outages on demand. */
+export class FakeState {
+  readonly keys = new Map<string, Entry>();
+  epoch = 0;
+  down = false;
+  private readonly leases = new Map<number, Lease>();
+  private readonly news: News[] = [];
+  private watchers: Watcher[] = [];
+  private lastLease = 0;
+
+  constructor(private readonly now: () => number) {}
+
+  /** After an outage every lease has its full time again. */
+  restore(): void {
+    this.down = false;
+    for (const lease of this.leases.values()) lease.ends = this.now() + lease.life;
+  }
+
+  tick(): void {
+    if (this.down) return;
+    for (const [id, lease] of this.leases) if (lease.ends <= this.now()) this.endLease(id);
+    for (const w of this.watchers.filter((x) => x.until <= this.now())) this.finish(w);
+  }
+
+  handle(method: string, path: string, body: unknown, done: (r: CallResult) => void): void {
+    if (this.down) return done(answer(503, { error: 'trouble' }));
+    const url = new URL(path, 'http://state');
+    const query = url.searchParams;
+    if (path.startsWith('/changes')) return this.watch(query, done);
+    if (path.startsWith('/keys?')) return done(this.page(query));
+    if (path.startsWith('/keys/')) return done(this.read(path.slice('/keys/'.length)));
+    if (path === '/commit') return done(this.commit(body as Commit));
+    done(this.grants(method, path, body));
+  }
+
+  private read(key: string): CallResult {
+    const entry = this.keys.get(key);
+    if (!entry) return answer(404, { epoch: this.epoch });
+    return answer(200, clone({ key, v: entry.v, stamp: entry.stamp }));
+  }
+
+  private page(query: URLSearchParams): CallResult {
+    const prefix = query.get('starts') ?? '';
+    const after = query.get('after') ?? '';
+    const most = Number(query.get('most') ?? 1000);
+    const keys = [...this.keys.keys()].filter((k) => k.startsWith(prefix) && k > after).sort();
+    const items = keys.slice(0, most).map((key) => {
+      const { v, stamp } = this.keys.get(key)!;
+      return { key, v, stamp };
+    });
+    return answer(200, clone({ items, has_next: keys.length > most, epoch: this.epoch }));
+  }
+
+  private commit({ guards, writes }: Commit): CallResult {
+    const failed = guards.filter((g) => (this.keys.get(g.key)?.stamp ?? 0) !== g.stamp);
+    const dead = writes.some(
+      (w) => 'write' in w && w.tenancy !== undefined && !this.leases.has(w.tenancy),
+    );
+    if (dead) return answer(400, { error: 'no such lease' });
+    if (failed.length > 0)
+      return answer(409, { failed: failed.map((g) => g.key), epoch: this.epoch });
+    if (writes.length === 0) return answer(200, { epoch: this.epoch });
+    this.epoch++;
+    for (const w of writes) {
+      if ('write' in w) this.put(w.write, clone(w.v), w.tenancy ?? null);
+      else this.remove(w.delete);
+    }
+    this.wake();
+    return answer(200, { epoch: this.epoch });
+  }
+
+  private put(key: string, v: unknown, lease: number | null): void {
+    this.keys.set(key, { v, stamp: this.epoch, lease });
+    this.news.push({ epoch: this.epoch, event: { write: key, v, stamp: this.epoch } });
+  }
+
+  private remove(key: string): void {
+    if (!this.keys.delete(key)) return;
+    this.news.push({ epoch: this.epoch, event: { delete: key, stamp: this.epoch } });
+  }
+
+  private grants(method: string, path: string, body: unknown): CallResult {
+    if (path === '/grants') {
+      const life = (body as { life_ms: number }).life_ms;
+      this.leases.set(++this.lastLease, { life, ends: this.now() + life });
+      return answer(200, { tenancy: this.lastLease });
+    }
+    const id = Number(path.split('/')[2]);
+    const lease = this.leases.get(id);
+    if (!lease) return answer(404, { error: 'no such lease' });
+    if (method === 'DELETE') this.endLease(id);
+    else lease.ends = this.now() + lease.life;
+    return answer(200, { tenancy: id });
+  }
+
+  private endLease(id: number): void {
+    this.leases.delete(id);
+    const attached = [...this.keys].filter(([, e]) => e.lease === id);
+    if (attached.length === 0) return;
+    this.epoch++;
+    for (const [key] of attached) this.remove(key);
+    this.wake();
+  }
+
+  private watch(query: URLSearchParams, done: (r: CallResult) => void): void {
+    const watcher = {
+      prefix: query.get('starts') ?? '',
+      after: Number(query.get('after')),
+      until: this.now() + Number(query.get('hold_ms') ?? 0),
+      done,
+    };
+    this.watchers.push(watcher);
+    if (this.eventsFor(watcher).length > 0) this.finish(watcher);
+  }
+
+  private eventsFor(w: Watcher): News['event'][] {
+    return this.news
+      .filter((n) => n.epoch > w.after)
+      .map((n) => n.event)
+      .filter((e) => (e.write ?? e.delete ?? '').startsWith(w.prefix));
+  }
+
+  private finish(w: Watcher): void {
+    this.watchers = this.watchers.filter((x) => x !== w);
+    w.done(answer(200, clone({ epoch: this.epoch, news: this.eventsFor(w) })));
+  }
+
+  private wake(): void {
+    for (const w of this.watchers.filter((x) => this.eventsFor(x).length > 0)) this.finish(w);
+  }
+}
--- /dev/null
+++ b/packages/testing/src/fake-worker.ts
@@ -0,0 +1,193 @@
+import type { CallResult } from '@tealdock/controller';
+import type { CloudMachine } from './fake-cloud.js';
+
+export interface WorkerTask {
+  piece: string;
+  try_no: number;
+  status: 'running' | 'exited';
+  reason?: string;
+  ends: number;
+}
+
+interface WireOrder {
+  verb: 'start' | 'kill' | 'forget';
+  piece: string;
+  try_no: number;
+}
+interface WireAnswer {
+  fence?: number;
+  orders?: WireOrder[];
+  upstream?: string;
+}
+
+/** What the world does for a worker: carries its reports and knows the jobs. */
+export interface WorkerHost {
+  now(): number;
+  nodes: string[];
+  reportEvery: number;
+  lease: number;
+  runTime(piece: string): number | null;
+  fails(piece: string, machine: string): boolean;
+  carry(worker: FakeWorker, node: string, body: unknown, done: (r: CallResult) => void): void;
+  started(piece: string, machine: string): void;
+  ended(piece: string, machine: string, reason: string): void;
+}
+
+const ANSWER_TIMEOUT = 4000;
+
+/** A worker as the protocol describes it: one report in flight, tokens, sessions, leases. */
+export class FakeWorker {
+  tasks: WorkerTask[] = [];
+  shift = 1;
+  tally = 0;
+  fence = 0;
+  warning: number | null = null;
+  gone = false;
+  hanging = false;
+  private node = 0;
+  private next = 0;
+  private lastSent: number;
+  private flight: { sent: number; shift: number; id: number } | null = null;
+  private flights = 0;
+  private changed = false;
+
+  constructor(
+    private readonly host: WorkerHost,
+    readonly machine: CloudMachine,
+  ) {
+    this.lastSent = host.now();
+    this.node = machine.id.charCodeAt(machine.id.length - 1) % host.nodes.length;
+  }
+
+  tick(): void {
+    if (this.gone || this.hanging) return;
+    const now = this.host.now();
+    this.finishTasks(now);
+    if (now - this.lastSent > this.host.lease) this.newSession(now);
+    if (this.flight && now - this.flight.sent > ANSWER_TIMEOUT) this.elsewhere();
+    if (!this.flight && now >= this.next) this.report(now);
+  }
+
+  private finishTasks(now: number): void {
+    for (const t of this.tasks) {
+      if (t.status === 'exited' || t.ends > now) continue;
+      this.exit(t, this.host.fails(t.piece, this.machine.id) ? 'error' : 'done');
+    }
+  }
+
+  private exit(t: WorkerTask, reason: string): void {
+    t.status = 'exited';
+    t.reason = reason;
+    this.soon();
+    this.host.ended(t.piece, this.machine.id, reason);
+  }
+
+  private soon(): void {
+    this.changed = true;
+    this.next = Math.min(this.next, this.host.now() + 500);
+  }
+
+  private newSession(now: number): void {
+    for (const t of this.tasks) {
+      if (t.status === 'running') this.host.ended(t.piece, this.machine.id, 'lease');
+    }
+    this.tasks = [];
+    this.shift++;
+    this.lastSent = now;
+    this.soon();
+  }
+
+  private elsewhere(): void {
+    this.flight = null;
+    this.node = (this.node + 1) % this.host.nodes.length;
+    this.next = this.host.now() + 1000;
+  }
+
+  private report(now: number): void {
+    this.changed = false;
+    this.next = now + this.host.reportEvery;
+    const id = ++this.flights;
+    this.flight = { sent: now, shift: this.shift, id };
+    const node = this.host.nodes[this.node]!;
+    this.host.carry(this, node, this.body(), (r) => {
+      if (this.flight?.id === id && !this.gone && !this.hanging) this.answered(r);
+    });
+  }
+
+  private body(): unknown {
+    const m = this.machine;
+    return {
+      host: m.id,
+      addr: `${m.id}:1`,
+      flavour: m.type,
+      hall: m.zone,
+      spare: m.spot,
+      shift: this.shift,
+      tally: ++this.tally,
+      fence: this.fence,
+      warning_s: this.warning,
+      batch: this.tasks.map(({ piece, try_no, status, reason }) => ({
+        piece,
+        try_no,
+        status,
+        reason,
+      })),
+    };
+  }
+
+  private answered(r: CallResult): void {
+    const flight = this.flight!;
+    this.flight = null;
+    const body = r.kind === 'answer' ? (r.body as WireAnswer) : {};
+    if (r.kind === 'answer' && r.status === 200) return this.obey(flight, body);
+    const named = r.kind === 'answer' && r.status === 421 ? body.upstream : undefined;
+    const at = named === undefined ? -1 : this.host.nodes.indexOf(named);
+    if (at < 0 || at === this.node) return this.elsewhere();
+    this.node = at;
+    this.next = this.host.now();
+  }
+
+  private obey(flight: { sent: number; shift: number }, body: WireAnswer): void {
+    const fence = body.fence ?? -1;
+    if (fence < this.fence || flight.shift !== this.shift) return;
+    if (fence > this.fence) this.soon();
+    this.fence = fence;
+    this.lastSent = flight.sent;
+    for (const order of body.orders ?? []) this.execute(order);
+    if (this.changed) this.soon();
+  }
+
+  private execute(order: WireOrder): void {
+    const known = this.tasks.find((t) => t.piece === order.piece && t.try_no === order.try_no);
+    if (order.verb === 'forget') {
+      if (known?.status === 'exited') this.tasks = this.tasks.filter((t) => t !== known);
+    } else if (order.verb === 'kill') {
+      if (known?.status === 'running') this.exit(known, 'stopped');
+    } else if (!known) this.startTask(order);
+  }
+
+  private startTask(order: WireOrder): void {
+    const task: WorkerTask = {
+      piece: order.piece,
+      try_no: order.try_no,
+      status: 'running',
+      ends: 0,
+    };
+    this.tasks.push(task);
+    const busy = this.tasks.some(
+      (t) => t !== task && t.piece === order.piece && t.status === 'running',
+    );
+    const time = this.host.runTime(order.piece);
+    if (time === null) return this.refuse(task, 'no_such');
+    if (busy) return this.refuse(task, 'in_use');
+    task.ends = this.host.now() + time;
+    this.host.started(order.piece, this.machine.id);
+    this.soon();
+  }
+
+  private refuse(task: WorkerTask, reason: string): void {
+    task.status = 'exited';
+    task.reason = reason;
+    this.soon();
+  }
+}
--- /dev/null
+++ b/packages/testing/src/faults.test.ts
@@ -0,0 +1,117 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { World, job, type WorldOptions } from './index.js';
+
+const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
+const JOBS = 12;
+const TROUBLED = 120_000;
+const FAULT_EVERY = 4000;
+
+const pick = <T>(world: World, from: T[]): T | undefined =>
+  from[Math.floor(world.random() * from.length)];
+
+function crash(world: World): void {
+  const name = pick(world, world.nodes)!;
+  if (!world.alive.has(name)) return;
+  world.crash(name);
+  world.at(200 + world.random() * 8000, () => world.boot(name));
+}
+
+function hang(world: World): void {
+  const name = pick(world, world.nodes)!;
+  world.hang(name, true);
+  world.at(world.random() * 25_000, () => world.hang(name, false));
+}
+
+function hangWorker(world: World): void {
+  const worker = pick(world, [...world.workers.values()]);
+  if (!worker) return;
+  worker.hanging = true;
+  world.at(world.random() * 25_000, () => (worker.hanging = false));
+}
+
+function cut(world: World): void {
+  const name = pick(world, [...world.nodes, ...world.workers.keys()])!;
+  const other = pick(world, world.nodes)!;
+  const cut = world.random() < 0.5 ? name : `${other}>${name}`;
+  world.cuts.add(cut);
+  world.at(world.random() * 30_000, () => world.cuts.delete(cut));
+}
+
+function outage(world: World): void {
+  world.state.down = true;
+  world.at(world.random() * 15_000, () => world.state.restore());
+}
+
+function losses(world: World): void {
+  world.stateFault = () => {
+    const dice = world.random();
+    return dice < 0.1 ? 'lost_before' : dice < 0.2 ? 'lost_after' : undefined;
+  };
+  world.at(world.random() * 10_000, () => (world.stateFault = null));
+}
+
+function take(world: World): void {
+  const id = pick(world, [...world.cloud.machines.keys()]);
+  if (id) world.cloud.take(id);
+}
+
+const FAULTS = [crash, crash, hang, hangWorker, cut, cut, outage, losses, take];
+
+function user(world: World, number: number): void {
+  const node = () => pick(world, [...world.alive.keys()]);
+  const id = `run-${String(number).padStart(6, '0')}`;
+  const body = job(number, {
+    batch: 1 + Math.floor(world.random() * 6),
+    expected_s: 2 + world.random() * 30,
+    urgency: pick(world, ['urgent', 'normal', 'idle']),
+  });
+  const step = () => {
+    const at = node();
+    if (world.checker.final(id) !== null) return;
+    if (at && !world.checker.accepted(id)) world.submit(body, at);
+    else if (at) world.poll(id, at);
+    world.at(2500, step);
+  };
+  world.at(world.random() * TROUBLED, step);
+  if (world.random() < 0.3) {
+    world.at(world.random() * TROUBLED * 1.2, () => {
+      const at = node();
+      if (at && world.checker.accepted(id)) world.cancel(id, at);
+    });
+  }
+}
+
+/** A day of random troubles, then quiet; returns the numbers of jobs that have not ended. */
+function troubledDay(options: WorldOptions): { world: World; open: string[] } {
+  const world = new World({ capacity: 6, cpuLimit: 16, ...options });
+  for (let i = 0; i < 3; i++) world.cloud.add(i % 2 ? 'a' : 'b');
+  const ids = Array.from({ length: JOBS }, (_, i) => i + 1);
+  for (const i of ids) user(world, i);
+  for (let at = 8000; at < TROUBLED; at += FAULT_EVERY) {
+    world.at(at, () => pick(world, FAULTS)!(world));
+  }
+  world.run(TROUBLED);
+  world.run(30_000);
+  world.cuts.clear();
+  const name = (i: number) => `run-${String(i).padStart(6, '0')}`;
+  const open = () => ids.map(name).filter((id) => world.checker.final(id) === null);
+  world.runUntil(() => open().length === 0, 400_000);
+  return { world, open: open() };
+}
+
+for (const seed of SEEDS) {
+  test(`random troubles, seed ${seed}: every rule holds and every job ends`, () => {
+    const { world, open } = troubledDay({ seed });
+    assert.deepEqual(world.checker.broken, []);
+    assert.deepEqual(open, []);
+    assert.ok(world.checker.starts > 0);
+  });
+}
+
+test('the checker sees a broken guard: a lease believed too short runs tasks twice', () => {
+  const broken = SEEDS.flatMap(
+    (seed) => troubledDay({ seed, believedLease: 1000 }).world.checker.broken,
+  );
+  assert.ok(broken.some((b) => b.startsWith('ran_twice')));
+});
--- /dev/null
+++ b/packages/testing/src/index.ts
@@ -0,0 +1,5 @@
+export * from './world.js';
+export * from './fake-state.js';
+export * from './fake-cloud.js';
+export * from './fake-worker.js';
+export * from './rule-checker.js';
--- /dev/null
+++ b/packages/testing/src/smoke.ts
@@ -0,0 +1,155 @@
+/**
+ * Start-up smoke of the built bundle: real processes and sockets on loopback,
+ * with in-memory stand-ins for the state service and the cloud.
+ */
+import assert from 'node:assert/strict';
+import { spawn, spawnSync } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { createServer, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { packBody, unpackBody } from '@tealdock/wire';
+import type { CallResult } from '@tealdock/controller';
+import { HttpClient } from '@tealdock/adapters';
+import { FakeCloud, FakeState, job } from './index.js';
+
+const BUNDLE = 'target/main.cjs';
+const PATIENCE = 20_000;
+
+type Handler = (method: string, path: string, body: unknown, done: (r: CallResult) => void) => void;
+
+function serve(handle: Handler): Promise<Server> {
+  const server = createServer((req, res) => {
+    const chunks: Buffer[] = [];
+    req.on('data', (chunk: Buffer) => chunks.push(chunk));
+    req.on('end', () => {
+      const body = chunks.length > 0 ? unpackBody(Buffer.concat(chunks)) : null;
+      handle(req.method ?? '', req.url ?? '', body, (r) => {
+        res.statusCode = r.kind === 'answer' ? r.status : 503;
+        res.end(packBody(r.kind === 'answer' ? r.body : null));
+      });
+    });
+  });
+  return new Promise((resolve) => server.listen(0, '127.0.0.1', () => resolve(server)));
+}
+
+const portOf = (server: Server): number => (server.address() as AddressInfo).port;
+
+async function freePort(): Promise<number> {
+  const server = await serve(() => undefined);
+  const port = portOf(server);
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+}
+
+function settingsText(ports: { http: number; peer: number; state: number; cloud: number }): string {
+  return [
+    'member = "n-0"',
+    'zone = "a"',
+    `public_addr = "127.0.0.1:${ports.http}"`,
+    `cluster_listen = "127.0.0.1:${ports.peer}"`,
+    '[external]',
+    `cloud = "127.0.0.1:${ports.cloud}"`,
+    `state = "127.0.0.1:${ports.state}"`,
+    '[settings]',
+    'zones = ["a", "b"]',
+    '[[settings.teams]]',
+    'name = "team"',
+    '[settings.workers]',
+    'report_s = 3.0\nlease_s = 20.0\ncancel_s = 45.0',
+    '[settings.state]',
+    'rps = 100.0\nwrite_rps = 50.0\nvalue_kb = 4.0\ntxn_ops = 8',
+    '[settings.cloud]',
+    'rps = 6.0\nlist_lag_s = 1.0',
+    '',
+  ].join('\n');
+}
+
+function healthy(port: number): Promise<boolean> {
+  const client = new HttpClient(1);
+  const call = { host: '127.0.0.1', port, method: 'GET', path: '/healthz', body: null };
+  return new Promise((resolve) =>
+    client.send({ ...call, timeout: 1000 }, (r) =>
+      resolve(r.kind === 'answer' && r.status === 200),
+    ),
+  );
+}
+
+async function waitHealthy(port: number): Promise<void> {
+  const end = performance.now() + PATIENCE;
+  while (!(await healthy(port))) {
+    assert.ok(performance.now() < end, 'the node never became healthy');
+    await new Promise((resolve) => setTimeout(resolve, 100));
+  }
+}
+
+/** Asynchronous, since the stand-ins live in this process. */
+function command(args: string[]): Promise<{ code: number | null; out: string; err: string }> {
+  const child = spawn(process.execPath, [BUNDLE, ...args]);
+  let [out, err] = ['', ''];
+  child.stdout.on('data', (chunk: Buffer) => (out += chunk.toString()));
+  child.stderr.on('data', (chunk: Buffer) => (err += chunk.toString()));
+  return new Promise((resolve) => child.on('close', (code) => resolve({ code, out, err })));
+}
+
+async function commandsWork(node: string, folder: string): Promise<void> {
+  const file = join(folder, 'job.toml');
+  const fields = Object.entries(job(7)).filter(([, value]) => value !== null);
+  writeFileSync(file, fields.map(([k, v]) => `${k} = ${JSON.stringify(v)}`).join('\n'));
+  const submitted = await command(['submit', '--node', node, file]);
+  assert.equal(submitted.code, 0, submitted.err);
+  assert.match(submitted.out, /run-000007 status=queued/);
+  const cancelled = await command(['cancel', '--node', node, 'run-000007']);
+  assert.match(cancelled.out, /status=aborted/);
+  const shown = await command(['status', '--node', node, 'run-000007']);
+  assert.match(shown.out, /status=aborted/);
+  const unknown = await command(['status', '--node', node, 'run-000008']);
+  assert.equal(unknown.code, 1);
+  assert.match(unknown.err, /404/);
+}
+
+function settingsAreChecked(folder: string): void {
+  const bad = join(folder, 'bad.toml');
+  writeFileSync(bad, 'member = "n-0"\nzone = 3\n');
+  const checked = spawnSync(process.execPath, [BUNDLE, 'check-config', '--config', bad]);
+  assert.equal(checked.status, 2);
+  assert.match(checked.stderr.toString(), /^tealdock: .*zone: /);
+  assert.equal(checked.stderr.toString().trim().split('\n').length, 1);
+}
+
+async function main(): Promise<void> {
+  const folder = mkdtempSync(join(tmpdir(), 'tealdock-smoke-'));
+  const now = () => performance.now();
+  const [state, cloud] = [new FakeState(now), new FakeCloud(now, 0, () => undefined)];
+  const stateServer = await serve((method, path, body, done) =>
+    state.handle(method, path, body, done),
+  );
+  const cloudServer = await serve((_method, path, body, done) => done(cloud.handle(path, body)));
+  const clock = setInterval(() => state.tick(), 50);
+  const ports = {
+    http: await freePort(),
+    peer: await freePort(),
+    state: portOf(stateServer),
+    cloud: portOf(cloudServer),
+  };
+  const file = join(folder, 'node.toml');
+  writeFileSync(file, settingsText(ports));
+  const node = spawn(process.execPath, [BUNDLE, 'serve', '--config', file], { stdio: 'ignore' });
+  try {
+    await waitHealthy(ports.http);
+    await commandsWork(`127.0.0.1:${ports.http}`, folder);
+    settingsAreChecked(folder);
+    process.stdout.write('smoke: the built service starts, answers and checks its settings\n');
+  } finally {
+    node.kill('SIGKILL');
+    clearInterval(clock);
+    rmSync(folder, { recursive: true });
+    for (const server of [stateServer, cloudServer]) {
+      server.closeAllConnections();
+      server.close();
+    }
+  }
+}
+
+await main();
--- /dev/null
+++ b/packages/testing/src/world.ts
@@ -0,0 +1,388 @@
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import {
+  packBody,
+  parseOperatorSettings,
+  parseSubmission,
+  type JobSpec,
+  type Settings,
+} from '@tealdock/wire';
+import {
+  Controller,
+  type Call,
+  type CallResult,
+  type Command,
+  type Effect,
+  type Random,
+  type Reply,
+} from '@tealdock/controller';
+import { FakeCloud } from './fake-cloud.js';
+import { FakeState } from './fake-state.js';
+import { FakeWorker, type WorkerHost } from './fake-worker.js';
+import { RuleChecker } from './rule-checker.js';
+
+const STEP = 50;
+const HALF_TRIP = 5;
+const TODAY = Date.UTC(2026, 0, 1);
+export const NODES = ['n-0', 'n-1', 'n-2'];
+
+export interface WorldOptions {
+  seed?: number;
+  capacity?: number;
+  cpuLimit?: number;
+  runTime?: number;
+  /** A task that fails wherever it runs, or on one machine. */
+  fails?: (piece: string, machine: string) => boolean;
+  /** What the controllers take for the workers' lease; a wrong one breaks a guard on purpose. */
+  believedLease?: number;
+}
+
+interface Node {
+  name: string;
+  controller: Controller;
+  queue: Command[];
+  replies: Map<number, (reply: Reply) => void>;
+  lastRequest: number;
+  /** Processes are told apart, so that answers to a dead one reach no other. */
+  life: number;
+  hung: boolean;
+}
+
+interface Event {
+  at: number;
+  order: number;
+  run: () => void;
+}
+
+const WORKER_LEASE = 20_000;
+const CANCEL_WITHIN = 45_000;
+
+export function settingsFor(member: string, cpuLimit: number): Settings {
+  const peers = NODES.filter((n) => n !== member).map((n) => ({ member: n, addr: `${n}:1` }));
+  return {
+    member,
+    zone: 'a',
+    publicAddr: `${member}:1`,
+    clusterListen: `${member}:2`,
+    peers,
+    cloudAddr: 'cloud:1',
+    stateAddr: 'state:1',
+    zones: ['a', 'b'],
+    clockError: 0,
+    teams: [{ name: 'team', cpus: 0, cpusMax: cpuLimit, gpus: 0, gpusMax: Infinity }],
+    objectives: [],
+    reportEvery: 3000,
+    workerLease: WORKER_LEASE,
+    cancelWithin: CANCEL_WITHIN,
+    state: { rps: 100, writeRps: 100, valueBytes: 4096, txnOps: 8 },
+    cloud: { rps: 6, listLag: 1000 },
+    maxConnections: 100,
+  };
+}
+
+/** Everything in memory and in simulated time: nodes, workers, state, cloud, network. */
+export class World implements WorkerHost {
+  readonly nodes = NODES;
+  readonly reportEvery = 3000;
+  readonly lease = WORKER_LEASE;
+  readonly state: FakeState;
+  readonly cloud: FakeCloud;
+  readonly checker: RuleChecker;
+  readonly random: Random;
+  readonly workers = new Map<string, FakeWorker>();
+  readonly alive = new Map<string, Node>();
+  /** Names whose traffic is cut; `a>b` cuts one direction of one pair. */
+  readonly cuts = new Set<string>();
+  readonly log: { node: string; message: string; fields: Record<string, unknown> }[] = [];
+  /** What a state call of a node comes to instead; undefined leaves it alone. */
+  stateFault: ((node: string, call: Call) => 'lost_after' | 'lost_before' | undefined) | null =
+    null;
+  readonly jobs = new Map<string, JobSpec>();
+  private clock = 0;
+  private events: Event[] = [];
+  private order = 0;
+  private lives = 0;
+
+  constructor(readonly options: WorldOptions = {}) {
+    const generator = xoroshiro128plus(options.seed ?? 1);
+    this.random = () => uniformFloat64(generator);
+    this.state = new FakeState(() => this.clock);
+    this.cloud = new FakeCloud(
+      () => this.clock,
+      options.capacity ?? 4,
+      (id) => this.dropWorker(id),
+    );
+    const limits = new Map([['team', options.cpuLimit ?? 100]]);
+    this.checker = new RuleChecker(() => this.clock, limits, CANCEL_WITHIN);
+    for (const name of NODES) this.boot(name);
+  }
+
+  now(): number {
+    return this.clock;
+  }
+
+  // --- time ------------------------------------------------------------------
+
+  run(duration: number): void {
+    const end = this.clock + duration;
+    while (this.clock < end) {
+      this.clock += STEP;
+      this.runEvents();
+      this.state.tick();
+      this.bootWorkers();
+      for (const worker of this.workers.values()) worker.tick();
+      for (const node of this.alive.values()) this.turn(node);
+      this.checker.check();
+    }
+  }
+
+  /** Runs until the condition holds; false if it does not within the limit. */
+  runUntil(condition: () => boolean, limit: number): boolean {
+    const end = this.clock + limit;
+    while (this.clock < end && !condition()) this.run(STEP);
+    return condition();
+  }
+
+  at(delay: number, run: () => void): void {
+    this.events.push({ at: this.clock + delay, order: this.order++, run });
+  }
+
+  private runEvents(): void {
+    const due = this.events.filter((e) => e.at <= this.clock);
+    this.events = this.events.filter((e) => e.at > this.clock);
+    for (const event of due.sort((a, b) => a.at - b.at || a.order - b.order)) event.run();
+  }
+
+  // --- nodes -----------------------------------------------------------------
+
+  boot(name: string): void {
+    const settings = settingsFor(name, this.options.cpuLimit ?? 100);
+    settings.workerLease = this.options.believedLease ?? WORKER_LEASE;
+    const operator = parseOperatorSettings('[leadership]\nlease_s = 10\n');
+    const log = (_level: string, fields: Record<string, unknown>, message: string) =>
+      void this.log.push({ node: name, message, fields });
+    const controller = new Controller({ settings, operator, random: this.random, log });
+    const life = ++this.lives;
+    const node = {
+      name,
+      controller,
+      queue: [],
+      replies: new Map(),
+      lastRequest: 0,
+      life,
+      hung: false,
+    };
+    this.alive.set(name, node);
+  }
+
+  crash(name: string): void {
+    this.alive.delete(name);
+  }
+
+  hang(name: string, hung: boolean): void {
+    const node = this.alive.get(name);
+    if (node) node.hung = hung;
+  }
+
+  /** Name of the node that last said it leads, if it still runs. */
+  leader(): string | null {
+    const held = [...this.state.keys.values()].find(
+      (e) => typeof (e.v as { nonce?: string } | null)?.nonce === 'string',
+    );
+    return held ? (held.v as { member: string }).member : null;
+  }
+
+  private turn(node: Node): void {
+    if (node.hung) return;
+    const batch = node.queue;
+    node.queue = [];
+    const today = new Date(TODAY + this.clock);
+    for (const effect of node.controller.process(batch, this.clock, today)) {
+      this.carryOut(node, effect);
+    }
+  }
+
+  private push(node: Node, command: Command): void {
+    if (this.alive.get(node.name)?.life === node.life) node.queue.push(command);
+  }
+
+  private carryOut(node: Node, effect: Effect): void {
+    if (effect.kind === 'reply') this.reply(node, effect.id, effect.reply);
+    else if (effect.kind === 'beat') this.beat(node, effect);
+    else {
+      const done = (result: CallResult) =>
+        this.at(HALF_TRIP, () => this.push(node, { kind: 'result', id: effect.id, result }));
+      this.at(HALF_TRIP, () => this.call(node.name, effect.call, done));
+    }
+  }
+
+  private reply(node: Node, id: number, reply: Reply): void {
+    const respond = node.replies.get(id);
+    node.replies.delete(id);
+    const late = reply.validUntil !== undefined && this.clock >= reply.validUntil;
+    respond?.(late ? { status: 503, body: {} } : reply);
+  }
+
+  private beat(node: Node, beat: Extract<Effect, { kind: 'beat' }>): void {
+    const { leader, token, stateOk } = beat;
+    for (const other of this.alive.values()) {
+      if (other === node || this.cut(node.name, other.name)) continue;
+      this.push(other, { kind: 'beat', member: node.name, leader, token, stateOk });
+    }
+  }
+
+  cut(from: string, to: string): boolean {
+    return this.cuts.has(from) || this.cuts.has(to) || this.cuts.has(`${from}>${to}`);
+  }
+
+  private call(from: string, call: Call, done: (result: CallResult) => void): void {
+    const lost = () => this.at(call.timeout, () => done({ kind: 'lost' }));
+    if (call.target === 'peer') return this.relay(from, call, done);
+    if (call.target === 'worker' || this.cut(from, call.target)) return lost();
+    if (call.target === 'cloud') return done(this.cloud.handle(call.path, call.body));
+    const fault = this.stateFault?.(from, call);
+    if (fault === 'lost_before') return lost();
+    const answer = fault === 'lost_after' ? lost : done;
+    this.state.handle(call.method, call.path, call.body, answer);
+  }
+
+  private relay(from: string, call: Call, done: (result: CallResult) => void): void {
+    const lost = () => this.at(call.timeout, () => done({ kind: 'lost' }));
+    if (this.cut(from, call.to)) return lost();
+    const { method, path } = call;
+    this.ask(call.to, 'peer', method, path, call.body as Buffer, (reply) =>
+      reply ? done({ kind: 'answer', status: reply.status, body: reply.body }) : lost(),
+    );
+  }
+
+  private ask(
+    name: string,
+    via: 'public' | 'peer',
+    method: string,
+    path: string,
+    body: Buffer,
+    done: (reply: Reply | null) => void,
+  ): void {
+    const node = this.alive.get(name);
+    if (!node) return done(null);
+    const id = ++node.lastRequest;
+    node.replies.set(id, done);
+    this.push(node, { kind: 'request', id, method, path, body, via });
+  }
+
+  // --- workers ---------------------------------------------------------------
+
+  carry(worker: FakeWorker, node: string, body: unknown, done: (r: CallResult) => void): void {
+    const id = worker.machine.id;
+    if (this.cut(id, node)) return;
+    this.at(HALF_TRIP, () =>
+      this.ask(node, 'public', 'POST', '/hello', packBody(body), (reply) => {
+        if (!reply || this.cut(node, id)) return;
+        this.at(HALF_TRIP, () => done({ kind: 'answer', status: reply.status, body: reply.body }));
+      }),
+    );
+  }
+
+  runTime(piece: string): number | null {
+    const spec = this.jobs.get(piece.split('/')[0]!);
+    return spec ? (this.options.runTime ?? spec.estimate) : null;
+  }
+
+  fails(piece: string, machine: string): boolean {
+    return this.options.fails?.(piece, machine) ?? false;
+  }
+
+  started(piece: string, machine: string): void {
+    this.checker.started(piece, machine);
+  }
+
+  ended(piece: string, machine: string, reason: string): void {
+    this.checker.ended(piece, machine, reason);
+  }
+
+  private bootWorkers(): void {
+    for (const m of this.cloud.machines.values()) {
+      if (m.up <= this.clock && !this.workers.has(m.id)) {
+        this.workers.set(m.id, new FakeWorker(this, m));
+      }
+    }
+  }
+
+  private dropWorker(id: string): void {
+    const worker = this.workers.get(id);
+    if (!worker) return;
+    for (const t of worker.tasks) if (t.status === 'running') this.ended(t.piece, id, 'gone');
+    worker.gone = true;
+    this.workers.delete(id);
+  }
+
+  // --- users -----------------------------------------------------------------
+
+  submit(job: Record<string, unknown>, node: string, done?: (reply: Reply | null) => void): void {
+    const spec = parseSubmission(job);
+    this.jobs.set(spec.id, spec);
+    this.checker.submitted(spec);
+    this.userAsk(node, 'POST', '/api/jobs', job, spec.id, done);
+  }
+
+  poll(id: string, node: string, done?: (reply: Reply | null) => void): void {
+    this.userAsk(node, 'GET', `/api/jobs/${id}`, null, id, done);
+  }
+
+  cancel(id: string, node: string, done?: (reply: Reply | null) => void): void {
+    this.userAsk(node, 'POST', `/api/jobs/${id}/cancel`, null, id, done);
+  }
+
+  /** Any body at all, for what must be refused. */
+  raw(node: string, method: string, path: string, body: Buffer): Reply | null {
+    let answer: Reply | null = null;
+    this.ask(node, 'public', method, path, body, (reply) => (answer = reply));
+    this.run(500);
+    return answer;
+  }
+
+  private userAsk(
+    node: string,
+    method: string,
+    path: string,
+    body: unknown,
+    id: string,
+    done?: (reply: Reply | null) => void,
+  ): void {
+    const known = this.checker.accepted(id);
+    this.ask(node, 'public', method, path, packBody(body), (reply) => {
+      if (reply) {
+        const state = (reply.body as { status?: string } | null)?.status;
+        this.checker.told(id, reply.status, state, known);
+      }
+      done?.(reply);
+    });
+  }
+}
+
+/** A small job; anything in it can be replaced. */
+export function job(id: number, over: Record<string, unknown> = {}): Record<string, unknown> {
+  return {
+    ref: `run-${String(id).padStart(6, '0')}`,
+    jobclass: 'plain',
+    owner: 'team',
+    shape: 'array',
+    urgency: 'normal',
+    batch: 2,
+    cpus: 1,
+    accelerators: 0,
+    mem_gb: 1,
+    bundle: 'img-1',
+    image_gb: 1,
+    flavours: null,
+    hall: null,
+    same_place: false,
+    apart: false,
+    spare: false,
+    expected_s: 10,
+    snapshot_s: 0,
+    flush_s: 0,
+    due_s: null,
+    ...over,
+  };
+}
--- a/packages/wire/src/domain.ts
+++ b/packages/wire/src/domain.ts
@@ -10,8 +10,12 @@
 
 export type Priority = 'production' | 'high' | 'normal' | 'low';
 
+/** `gang`: all tasks run at the same time. `service`: runs until it is cancelled. */
+export type JobKind = 'array' | 'gang' | 'service';
+
 export interface JobSpec {
   id: string;
+  kind: JobKind;
   jobClass: string;
   team: string;
   priority: Priority;
--- a/packages/wire/src/jobs.ts
+++ b/packages/wire/src/jobs.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 import { WireError, millis } from './body.js';
-import type { JobSpec, JobView, Priority } from './domain.js';
+import type { JobKind, JobSpec, JobView, Priority } from './domain.js';
 
 export const JOBS_PATH = '/api/jobs';
 export const MAX_TASKS = 100_000;
@@ -12,6 +12,8 @@
   idle: 'low',
 };
 
+const KINDS: Record<string, JobKind> = { array: 'array', group: 'gang', service: 'service' };
+
 const name = z.string().min(1).max(200);
 const amount = z.number().finite().nonnegative();
 const flag = z.boolean();
@@ -20,7 +22,7 @@
   ref: z.string(),
   jobclass: name,
   owner: name,
-  shape: z.literal('array'),
+  shape: z.enum(['array', 'group', 'service']),
   urgency: z.enum(['prod', 'urgent', 'normal', 'idle']),
   batch: z.number().int().min(1).max(MAX_TASKS),
   cpus: amount,
@@ -56,6 +58,7 @@
   if (!isJobId(s.ref)) throw new WireError('ref: not a job id');
   return {
     id: s.ref,
+    kind: KINDS[s.shape]!,
     jobClass: s.jobclass,
     team: s.owner,
     priority: PRIORITIES[s.urgency]!,
@@ -84,7 +87,7 @@
     ref: spec.id,
     jobclass: spec.jobClass,
     owner: spec.team,
-    shape: 'array',
+    shape: Object.keys(KINDS).find((key) => KINDS[key] === spec.kind),
     urgency,
     batch: spec.taskCount,
     cpus: spec.cpus,
--- a/packages/wire/src/workers.ts
+++ b/packages/wire/src/workers.ts
@@ -8,6 +8,8 @@
 
 const STATES: Record<string, TaskState> = {
   pulling: 'fetching',
+  // A gang's task that waits for the others has its image, but does not run yet.
+  waiting: 'fetching',
   running: 'running',
   saving: 'saving',
   exited: 'exited',
@@ -15,6 +17,9 @@
 const REASONS: Record<string, ExitReason> = {
   done: 'done',
   stopped: 'stopped',
+  // A gang's task ended because of the others: neither it nor its machine failed.
+  peers: 'stopped',
+  incomplete: 'stopped',
   error: 'error',
   no_room: 'no_room',
   in_use: 'busy',
@@ -36,7 +41,7 @@
     z.object({
       piece: z.string().min(1).max(200),
       try_no: count,
-      status: z.enum(['pulling', 'running', 'saving', 'exited']),
+      status: z.enum(['pulling', 'waiting', 'running', 'saving', 'exited']),
       reason: z.string().nullish(),
       saved: z.boolean().nullish(),
     }),
