--- a/packages/controller/src/fleet-keeper.ts
+++ b/packages/controller/src/fleet-keeper.ts
@@ -28,7 +28,7 @@
 const LEAST_CHARGE = 60_000;
 const MOST_PLANNED = 60;
 /** An owned fleet is not paid for by the second: what it rents is kept for longer. */
-const FAST_IDLE = 180_000;
+const FAST_IDLE = 300_000;
 
 interface Coming extends Place {
   asked: Instant;
@@ -198,6 +198,16 @@
     });
   }
 
+  /** Where starts count more than money, room for a burst is kept beside the work at hand. */
+  private headroom(): Backlog[] {
+    if (this.policy() !== 'fast') return [];
+    const share = this.rt.operator.fleet.headroom;
+    return [...this.term.jobs.values()].map((job) => ({
+      spec: job.spec,
+      tasks: Math.ceil(share * (job.waiting + job.bound.size)),
+    }));
+  }
+
   private rooms(): Room[] {
     const rooms: Room[] = [];
     for (const m of this.term.machines.values()) {
@@ -214,7 +224,8 @@
   }
 
   private rent(): void {
-    const plan = planRentals(this.backlog(), this.rooms(), this.offers(), MOST_PLANNED);
+    const backlog = [...this.backlog(), ...this.headroom()];
+    const plan = planRentals(backlog, this.rooms(), this.offers(), MOST_PLANNED);
     const groups = new Map<string, { place: Place; count: number }>();
     for (const p of plan) {
       const group = groups.get(placeKey(p)) ?? { place: p, count: 0 };
--- a/packages/wire/src/settings.ts
+++ b/packages/wire/src/settings.ts
@@ -151,6 +151,7 @@
     .object({
       idle_return_s: number(20, 0, 86400),
       boot_patience: number(4, 1.5, 100),
+      headroom: number(1, 0, 10),
       policy: z.enum(['auto', 'frugal', 'fast']).default('auto'),
     })
     .prefault({}),
@@ -159,7 +160,12 @@
 export interface OperatorSettings {
   window: { lambda: number; closeEarly: number; holdAnswer: number };
   leadership: { lease: number; resignDeaf: number };
-  fleet: { idleReturn: number; bootPatience: number; policy: 'auto' | 'frugal' | 'fast' };
+  fleet: {
+    idleReturn: number;
+    bootPatience: number;
+    headroom: number;
+    policy: 'auto' | 'frugal' | 'fast';
+  };
 }
 
 export function parseOperatorSettings(text: string): OperatorSettings {
@@ -176,6 +182,7 @@
     fleet: {
       idleReturn: millis(f.idle_return_s),
       bootPatience: f.boot_patience,
+      headroom: f.headroom,
       policy: f.policy,
     },
   };
