--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -11,6 +11,7 @@
 import { Catalog } from './catalog.js';
 import { Completer } from './completer.js';
 import { FleetKeeper } from './fleet-keeper.js';
+import { HeldAnswers } from './held-answers.js';
 import { Leadership } from './leadership.js';
 import { Peers } from './peers.js';
 import { Placer } from './placer.js';
@@ -41,6 +42,7 @@
   private readonly peers: Peers;
   private readonly requests: Requests;
   private term: Term | null = null;
+  private held: HeldAnswers | null = null;
   private startedAt: Instant | null = null;
 
   constructor(env: Environment) {
@@ -63,6 +65,7 @@
     if (this.startedAt === null) this.start();
     for (const command of commands) this.apply(command);
     this.rt.runDue();
+    this.held?.release(this.leadership.held());
     return this.rt.takeEffects();
   }
 
@@ -97,7 +100,9 @@
   private begin(token: number): void {
     this.term?.close();
     const term = new Term(this.rt, this.state, this.leadership, token);
+    this.held?.release(null);
     this.term = term;
+    this.held = new HeldAnswers(this.rt, term);
     const types = () => this.catalog.types;
     const fleet = new FleetKeeper(this.rt, this.state, this.leadership, term, types);
     const placer = new Placer(
@@ -116,7 +121,9 @@
   private endTerm(): void {
     this.rt.env.log('info', { token: this.term?.token }, 'no longer leading');
     this.term?.close();
+    this.held?.release(null);
     this.term = null;
+    this.held = null;
   }
 
   /** A leader that workers can't reach makes way for one that they can. */
@@ -170,7 +177,11 @@
     this.leadership.outranked(report.token);
     const held = this.leadership.held();
     if (!held || !this.term) return this.redirect(request);
+    this.held?.drop(report.machine, held);
     const orders = this.term.report(report);
+    if (orders.length === 0 && this.term.mayHold(report)) {
+      return this.held?.hold(report.machine, request.id);
+    }
     this.rt.reply(request.id, {
       status: 200,
       body: renderReportAnswer(held.token, orders),
--- a/packages/controller/src/term.ts
+++ b/packages/controller/src/term.ts
@@ -367,6 +367,28 @@
     b.size = need(spec);
   }
 
+  /** True if an answer to the machine's newest report would carry orders by now. */
+  hasOrders(machine: string): boolean {
+    const m = this.machines.get(machine);
+    if (!m) return true;
+    for (const b of m.bindings.values()) {
+      if (b.phase === 'booked' ? this.canStart(m) : this.stopOrder(b) !== null) return true;
+    }
+    return false;
+  }
+
+  ordersOf(machine: string): Order[] {
+    const m = this.machines.get(machine);
+    return m ? this.ordersFor(m) : [];
+  }
+
+  /** An answer may be kept back only for a report that counts, from a machine to be used. */
+  mayHold(report: WorkerReport): boolean {
+    const m = this.machines.get(report.machine);
+    if (!m || !this.canStart(m) || m.noticeUntil !== null) return false;
+    return report.token === this.token && m.session === report.session && m.seq === report.seq;
+  }
+
   /** Orders that the worker's newest report calls for; starts leave only here. */
   private ordersFor(m: Machine): Order[] {
     const orders: Order[] = [];
--- a/packages/wire/src/settings.ts
+++ b/packages/wire/src/settings.ts
@@ -141,7 +141,7 @@
     .object({
       lambda_s: number(5, 0.05, 60),
       close_early_s: number(0.15, 0, 60),
-      hold_answer_s: number(0, 0, 3),
+      hold_answer_s: number(2, 0, 3),
     })
     .prefault({}),
   leadership: z
