--- a/packages/testing/src/fake-worker.ts
+++ b/packages/testing/src/fake-worker.ts
@@ -60,10 +60,12 @@
   }
 
   tick(): void {
-    if (this.gone || this.hanging) return;
+    if (this.gone) return;
     const now = this.host.now();
-    this.finishTasks(now);
+    // A hanging machine may go on within its lease only, so its end counts at once.
     if (now - this.lastSent > this.host.lease) this.newSession(now);
+    if (this.hanging) return;
+    this.finishTasks(now);
     if (this.flight && now - this.flight.sent > ANSWER_TIMEOUT) this.elsewhere();
     if (!this.flight && now >= this.next) this.report(now);
   }
--- a/packages/testing/src/rule-checker.ts
+++ b/packages/testing/src/rule-checker.ts
@@ -35,8 +35,14 @@
     });
   }
 
-  /** An answer to a submission, a poll or a cancellation that was asked at `asked`. */
-  told(id: string, status: number, state: string | undefined, askedAfterAccept: boolean): void {
+  /** An answer to a submission, a poll or a cancellation, and what was known when it was asked. */
+  told(
+    id: string,
+    status: number,
+    state: string | undefined,
+    askedAfterAccept: boolean,
+    finalWhenAsked: string | null,
+  ): void {
     const job = this.jobs.get(id);
     if (!job) {
       if (status === 200) this.break('invented', id);
@@ -47,7 +53,11 @@
     }
     if (status !== 200 && status !== 201) return;
     job.accepted = true;
-    if (state !== undefined) this.toldState(id, job, state);
+    if (state === undefined) return;
+    if (finalWhenAsked !== null && finalWhenAsked !== state) {
+      this.break('went_back', `${id} to ${state}`);
+    }
+    this.toldState(id, job, state);
   }
 
   accepted(id: string): boolean {
@@ -59,9 +69,9 @@
   }
 
   private toldState(id: string, job: Seen, state: string): void {
-    if (job.final !== null && job.final !== state) this.break('went_back', `${id} to ${state}`);
     if (state === 'done' && job.doneTasks.size < job.spec.taskCount) this.break('not_done', id);
     if (state !== 'done' && state !== 'aborted') return;
+    if (job.final !== null && job.final !== state) this.break('went_back', `${id} to ${state}`);
     job.final = state;
     if (state === 'aborted') job.cancelTold ??= this.now();
   }
--- a/packages/testing/src/world.ts
+++ b/packages/testing/src/world.ts
@@ -349,11 +349,11 @@
     id: string,
     done?: (reply: Reply | null) => void,
   ): void {
-    const known = this.checker.accepted(id);
+    const [known, final] = [this.checker.accepted(id), this.checker.final(id)];
     this.ask(node, 'public', method, path, packBody(body), (reply) => {
       if (reply) {
         const state = (reply.body as { status?: string } | null)?.status;
-        this.checker.told(id, reply.status, state, known);
+        this.checker.told(id, reply.status, state, known, final);
       }
       done?.(reply);
     });
