--- a/packages/controller/src/keys.ts
+++ b/packages/controller/src/keys.ts
@@ -43,6 +43,8 @@
   zone: string;
   spot: boolean;
   returning: boolean;
+  /** Time of day at which it is known to have been there, in ms. */
+  since: number;
 }
 
 /** Job id and rest of a key below the live prefix. */
--- a/packages/controller/src/machine.ts
+++ b/packages/controller/src/machine.ts
@@ -57,7 +57,8 @@
   failures = 0;
   asideUntil: Instant = 0;
   recent = 0;
-  seenListed = false;
+  /** First known to be there, on this process's steady clock. */
+  since: Instant = Infinity;
   readonly images = new Set<string>();
 
   constructor(
--- a/packages/controller/src/term.ts
+++ b/packages/controller/src/term.ts
@@ -154,7 +154,8 @@
     if (this.jobs.has(id)) return;
     const age = Math.max(0, this.rt.today.getTime() - value.submitted);
     this.jobs.set(id, new LiveJob(value.spec, version, this.rt.now - age));
-    this.rt.env.log('debug', { job: id, tasks: value.spec.taskCount }, 'job live');
+    const { jobClass, taskCount, image, imageGb } = value.spec;
+    this.rt.env.log('debug', { job: id, jobClass, tasks: taskCount, image, imageGb }, 'job live');
   }
 
   // --- news of jobs ----------------------------------------------------------
@@ -268,9 +269,11 @@
   }
 
   private noteStart(m: Machine, b: Binding): void {
-    b.runningSince ??= this.rt.now;
     const job = this.jobs.get(b.job);
     if (job) m.noteImage(job.spec.image);
+    if (b.runningSince !== null) return;
+    b.runningSince = this.rt.now;
+    this.rt.env.log('debug', { task: b.task, machine: m.id }, 'task runs');
   }
 
   private absorbExit(m: Machine, t: TaskReport, bound: Binding | undefined): void {
