--- a/packages/controller/src/fleet-keeper.ts
+++ b/packages/controller/src/fleet-keeper.ts
@@ -12,7 +12,7 @@
   type MachineType,
 } from '@tealdock/wire';
 import { offerings, planRentals, type Backlog, type Place, type Room } from '@tealdock/scheduler';
-import { OWNED_KEY, machineKey, type MachineValue } from './keys.js';
+import { OWNED_KEY, machineKey } from './keys.js';
 import type { Leadership } from './leadership.js';
 import type { Machine } from './machine.js';
 import { PRIORITY, type CallPriority, type CallResult } from './ports.js';
@@ -150,8 +150,7 @@
 
   private seeList(): void {
     for (const [id, m] of this.listed) {
-      const known = this.term.machines.get(id);
-      if (known) known.seenListed = true;
+      const known = this.term.machines.has(id);
       if (m.state === 'booting' && !known && !this.coming.has(id)) {
         this.coming.set(id, {
           type: m.type,
@@ -294,8 +293,8 @@
     }
     this.rt.env.log('info', { machines: chosen }, 'returning machines');
     const writes = fresh.map((c) => {
-      const value: MachineValue = { type: c.type, zone: c.zone, spot: c.spot, returning: true };
-      return { put: machineKey(c.id), value };
+      const place = this.term.machines.get(c.id) ?? c;
+      return { put: machineKey(c.id), value: this.term.rosterValue(place, true) };
     });
     // Committed first: no later term may give work to a machine that is on its way back.
     this.state.commit([this.leadership.guard()], writes, PRIORITY.leader, (committed) => {
@@ -350,13 +349,15 @@
   }
 
   /**
-   * It was listed, then fell silent, and a list that must be newer than its last
-   * report lacks it. That alone proves nothing; the answer to its return will.
+   * It was there before any moment that the newest list may describe, the list
+   * lacks it, and it is silent. That alone proves nothing; the answer to its
+   * return will.
    */
   private vanished(m: Machine): boolean {
-    if (!m.seenListed || this.listAsked === null || this.listed.has(m.id)) return false;
-    const heard = m.lastHeard ?? this.term.acquired;
-    return this.listAsked - this.rt.settings.cloud.listLag * 2 > heard;
+    if (this.listAsked === null || this.listed.has(m.id)) return false;
+    const silence = this.rt.now - (m.lastHeard ?? this.term.acquired);
+    if (silence < this.rt.settings.reportEvery * 1.5) return false;
+    return this.listAsked - this.rt.settings.cloud.listLag * 2 > m.since;
   }
 
   private idleLongEnough(m: Machine): boolean {
--- a/packages/controller/src/term.ts
+++ b/packages/controller/src/term.ts
@@ -10,7 +10,7 @@
   type TaskReport,
   type WorkerReport,
 } from '@tealdock/wire';
-import { NOTHING, need, plus, type Resources } from '@tealdock/scheduler';
+import { NOTHING, need, plus, type Place, type Resources } from '@tealdock/scheduler';
 import {
   LIVE_PREFIX,
   MACHINE_PREFIX,
@@ -131,6 +131,7 @@
     const m = known ?? new Machine(id, value.type, value.zone, value.spot);
     m.inRoster = true;
     m.returning = value.returning;
+    m.since = this.rt.now - Math.max(0, this.rt.today.getTime() - value.since);
     m.returnCommitted = value.returning;
     m.resolved = m.lastCounted !== null;
     this.machines.set(id, m);
@@ -236,6 +237,7 @@
       m.resolved = true;
       this.machines.set(m.id, m);
     }
+    m.since = Math.min(m.since, this.rt.now);
     return m;
   }
 
@@ -388,7 +390,7 @@
   /** An answer may be kept back only for a report that counts, from a machine to be used. */
   mayHold(report: WorkerReport): boolean {
     const m = this.machines.get(report.machine);
-    if (!m || !this.canStart(m) || m.noticeUntil !== null) return false;
+    if (!m || !this.loaded || m.returning || m.noticeUntil !== null) return false;
     return report.token === this.token && m.session === report.session && m.seq === report.seq;
   }
 
@@ -533,12 +535,7 @@
   private join(m: Machine): void {
     if (m.inRoster || this.joining.has(m.id)) return;
     this.joining.add(m.id);
-    const value: MachineValue = {
-      type: m.type,
-      zone: m.zone,
-      spot: m.spot,
-      returning: m.returning,
-    };
+    const value = this.rosterValue(m, m.returning);
     const write = { put: machineKey(m.id), value };
     this.state.commit([this.leadership.guard()], [write], PRIORITY.leader, (committed) => {
       this.joining.delete(m.id);
@@ -546,6 +543,12 @@
     });
   }
 
+  rosterValue(m: Place & { since?: Instant }, returning: boolean): MachineValue {
+    const age = this.rt.now - Math.min(m.since ?? this.rt.now, this.rt.now);
+    const since = Math.round(this.rt.today.getTime() - age);
+    return { type: m.type, zone: m.zone, spot: m.spot, returning, since };
+  }
+
   /** The cloud answered 200 to its return: the machine and all on it are gone. */
   machineGone(id: string): void {
     const m = this.machines.get(id);
