--- a/packages/controller/src/placer.ts
+++ b/packages/controller/src/placer.ts
@@ -26,6 +26,10 @@
 const PASS_EVERY = 100;
 /** Room freed by a stop that takes longer than this is not waited for. */
 const STOP_PATIENCE = 15_000;
+/** What stopping a task and starting another in its place takes. */
+const STOP_TIME = 4000;
+/** A start that is stopped sooner than this was in vain for whoever waited for it. */
+const FRESH_START = 30_000;
 
 /** Room on each machine while one pass goes on. */
 interface Desk {
@@ -127,6 +131,7 @@
         if (!this.reserve(job, allowed)) return;
         continue;
       }
+      if (this.waitsForHolder(job, chosen, allowed)) continue;
       this.term.book(job, task.index, chosen.machine);
       job.starvedSince = null;
       chosen.free = minus(chosen.free, need(job.spec));
@@ -196,13 +201,42 @@
       machine: d.machine.id,
       load: bookedShare(d.type, d.free),
       price: this.priceOf(d.machine, d.type),
-      recent: d.machine.recent,
-      hasImage: d.machine.images.has(job.spec.image),
+      recent: d.machine.recent / Math.max(1, d.type.cpus),
+      imageRank: this.imageRank(job.spec.image, d.machine),
     }));
     const chosen = choose(volunteers);
     return able.find((d) => d.machine.id === chosen?.machine);
   }
 
+  private imageRank(image: string, m: Machine): number {
+    if (m.images.has(image)) return 0;
+    const fetched = this.term.fetching(m);
+    if (fetched.has(image)) return 1;
+    return fetched.size === 0 ? 2 : 3;
+  }
+
+  /**
+   * A fetch would break the class's aim for starts, while a holder of the image
+   * has or can be given room in time: then the task waits for the holder.
+   */
+  private waitsForHolder(job: LiveJob, chosen: Desk, desks: Desk[]): boolean {
+    if (chosen.machine.images.has(job.spec.image)) return false;
+    const fetch = (job.spec.imageGb / Math.max(0.01, chosen.type.fetchGbPerS)) * 1000;
+    const left = this.aimFor(job) - (this.rt.now - job.submitted);
+    if (fetch < left || left < STOP_TIME) return false;
+    const holders = desks.filter((d) => d.machine.images.has(job.spec.image));
+    this.makeRoom(job, holders);
+    return this.reserve(job, holders);
+  }
+
+  /** Within what time tasks of the class should start. */
+  private aimFor(job: LiveJob): number {
+    const aims = this.rt.settings.objectives.filter(
+      (o) => o.kind === 'wait' && o.jobClass === job.spec.jobClass && o.within !== null,
+    );
+    return Math.min(Infinity, ...aims.map((o) => o.within!));
+  }
+
   /** Keeps room that is coming for this task; false when no machine will have any. */
   private reserve(job: LiveJob, desks: Desk[]): boolean {
     const desk = desks.find((d) => fits(need(job.spec), d.coming));
@@ -281,7 +315,7 @@
 
 /** Work lost if the task is stopped now; one that saves loses only what stopping takes. */
 function lost(b: Binding, job: LiveJob, now: Instant): number {
-  if (b.runningSince === null || b.state === 'fetching') return 0;
-  if (job.spec.checkpoint > 0) return job.spec.save;
-  return now - b.runningSince;
+  const ran = b.runningSince === null || b.state === 'fetching' ? 0 : now - b.runningSince;
+  const fresh = ran < FRESH_START ? FRESH_START : 0;
+  return fresh + (job.spec.checkpoint > 0 ? job.spec.save : ran);
 }
--- a/packages/controller/src/term.ts
+++ b/packages/controller/src/term.ts
@@ -416,6 +416,17 @@
     return orders;
   }
 
+  /** Images that tasks on the machine, or on their way there, still wait for. */
+  fetching(m: Machine): Set<string> {
+    const images = new Set<string>();
+    for (const b of m.bindings.values()) {
+      const image = this.jobs.get(b.job)?.spec.image;
+      const waits = b.phase !== 'seen' || b.state === 'fetching';
+      if (image !== undefined && waits && !m.images.has(image)) images.add(image);
+    }
+    return images;
+  }
+
   stopOrder(b: Binding): Order | null {
     if (!b.stop || b.phase !== 'seen') return null;
     if (b.state === 'saving' && b.stop.grace > 0) return null;
--- a/packages/scheduler/src/front.ts
+++ b/packages/scheduler/src/front.ts
@@ -7,7 +7,8 @@
   price: number;
   /** Computing time booked on it over the recent past. */
   recent: number;
-  hasImage: boolean;
+  /** 0: holds the image; 1: is fetching it; 2: fetches nothing; 3: is busy fetching others. */
+  imageRank: number;
 }
 
 const dominates = (a: Volunteer, b: Volunteer): boolean =>
@@ -21,8 +22,11 @@
   return volunteers.find((v) => !volunteers.some((other) => dominates(other, v)));
 }
 
-/** Heuristic 3-ter with image holders first: the front among holders, else among all. */
+/**
+ * Heuristic 3-ter with image holders first: the front among them, else among
+ * those that will have the image soonest.
+ */
 export function choose(volunteers: Volunteer[]): Volunteer | undefined {
-  const holders = volunteers.filter((v) => v.hasImage);
-  return firstOfFront(holders.length > 0 ? holders : volunteers);
+  const best = Math.min(...volunteers.map((v) => v.imageRank));
+  return firstOfFront(volunteers.filter((v) => v.imageRank === best));
 }
