--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -111,6 +111,7 @@
       types,
       (m, type) => fleet.price(m, type),
       () => fleet.rentable(),
+      () => fleet.policy() === 'frugal',
     );
     term.start();
     new Completer(this.rt, this.state, this.leadership, term).start();
--- a/packages/controller/src/fleet-keeper.ts
+++ b/packages/controller/src/fleet-keeper.ts
@@ -79,8 +79,10 @@
     return this.owned !== null && this.owned !== '' && id <= this.owned;
   }
 
+  /** What work on this machine adds to the bill: nothing where it is owned, or busy anyway. */
   price(m: Machine, type: MachineType): number {
     if (this.isOwned(m.id)) return 0;
+    if (this.policy() === 'frugal' && m.bindings.size > 0) return 0;
     return m.spot ? type.spotPrice : type.price;
   }
 
@@ -368,7 +370,7 @@
     return this.rt.now - m.idleSince >= least && age >= LEAST_CHARGE;
   }
 
-  private policy(): 'frugal' | 'fast' {
+  policy(): 'frugal' | 'fast' {
     const set = this.rt.operator.fleet.policy;
     if (set !== 'auto') return set;
     return this.owned !== null && this.owned !== '' ? 'fast' : 'frugal';
--- a/packages/controller/src/placer.ts
+++ b/packages/controller/src/placer.ts
@@ -52,6 +52,7 @@
     private readonly types: () => MachineType[],
     private readonly priceOf: (m: Machine, type: MachineType) => number,
     private readonly rentable: () => boolean,
+    private readonly gathers: () => boolean,
   ) {}
 
   start(): void {
@@ -204,6 +205,8 @@
       recent: d.machine.recent / Math.max(1, d.type.cpus),
       imageRank: this.imageRank(job.spec.image, d.machine),
     }));
+    // The fullest first: among equals of the front, work gathers and other machines fall idle.
+    if (this.gathers()) volunteers.sort((a, b) => b.load - a.load);
     const chosen = choose(volunteers);
     return able.find((d) => d.machine.id === chosen?.machine);
   }
--- a/packages/wire/src/settings.ts
+++ b/packages/wire/src/settings.ts
@@ -149,7 +149,7 @@
     .prefault({}),
   fleet: z
     .object({
-      idle_return_s: number(20, 0, 86400),
+      idle_return_s: number(6, 0, 86400),
       boot_patience: number(4, 1.5, 100),
       headroom: number(1, 0, 10),
       policy: z.enum(['auto', 'frugal', 'fast']).default('auto'),
