--- a/packages/controller/src/fleet-keeper.ts
+++ b/packages/controller/src/fleet-keeper.ts
@@ -11,13 +11,23 @@
   type ListedMachine,
   type MachineType,
 } from '@tealdock/wire';
-import { offerings, planRentals, type Backlog, type Place, type Room } from '@tealdock/scheduler';
+import {
+  leastSlotPrice,
+  offerings,
+  planRentals,
+  type Backlog,
+  type Offering,
+  type Place,
+  type Room,
+} from '@tealdock/scheduler';
 import { OWNED_KEY, machineKey } from './keys.js';
 import type { Leadership } from './leadership.js';
+import type { LiveJob } from './live-job.js';
 import type { Machine } from './machine.js';
 import { PRIORITY, type CallPriority, type CallResult } from './ports.js';
 import type { Runtime } from './runtime.js';
 import { attempt, type StateStore } from './state-store.js';
+import { guaranteedJobs, latestStart } from './slack.js';
 import { typeOf, type Term } from './term.js';
 
 const LIST_EVERY = 3000;
@@ -27,6 +37,10 @@
 /** The cloud charges a machine that is returned for at least this long. */
 const LEAST_CHARGE = 60_000;
 const MOST_PLANNED = 60;
+/** Boots take up to half as long again as their type says. */
+const BOOT_LEAD = 1.5;
+/** A slot is cheap up to this multiple of the cheapest. */
+const CHEAP_ENOUGH = 1.6;
 /** An owned fleet is not paid for by the second: what it rents is kept for longer. */
 const FAST_IDLE = 300_000;
 
@@ -184,21 +198,39 @@
   }
 
   private backlog(): Backlog[] {
-    const jobs = [...this.term.jobs.values()].filter(
-      (j) => j.waiting > 0 && j.backoffUntil <= this.rt.now,
-    );
+    const inside = guaranteedJobs(this.term.jobs.values(), this.rt.settings);
+    const jobs = [...this.term.jobs.values()]
+      .filter((j) => j.waiting > 0 && j.backoffUntil <= this.rt.now)
+      .map((job) => ({ job, latest: this.latest(job, inside.has(job.id)) }))
+      .sort((a, b) => a.latest - b.latest);
+    const all = offerings(this.types(), () => false);
     const rest = new Map<string, number>();
-    return jobs.map((job) => {
+    return jobs.map(({ job, latest }) => {
       const team = this.rt.settings.teams.find((t) => t.name === job.spec.team);
       const room =
         rest.get(job.spec.team) ?? (team?.cpusMax ?? 0) - this.term.teamUse(job.spec.team).cpus;
       const most = job.spec.cpus > 0 ? Math.floor(room / job.spec.cpus) : job.waiting;
       const tasks = Math.max(0, Math.min(job.waiting, most));
       rest.set(job.spec.team, room - tasks * job.spec.cpus);
-      return { spec: job.spec, tasks };
+      return { spec: job.spec, tasks, mostPrice: this.mostPrice(job, latest, all) };
     });
   }
 
+  private latest(job: LiveJob, guaranteed: boolean): Instant {
+    const ratio = this.term.ratios.get(job.spec.jobClass) ?? 1;
+    return latestStart(job, ratio, guaranteed, this.rt.settings);
+  }
+
+  /** Dear machines are only for work that would otherwise start too late. */
+  private mostPrice(job: LiveJob, latest: Instant, all: Offering[]): number {
+    if (this.policy() === 'fast') return Infinity;
+    const slowest = Math.min(...this.types().map((t) => t.fetchGbPerS));
+    const boot = Math.max(...this.types().map((t) => t.boot));
+    const lead = boot * BOOT_LEAD + (job.spec.imageGb / Math.max(0.01, slowest)) * 1000;
+    if (this.rt.now >= latest - lead) return Infinity;
+    return leastSlotPrice(all, job.spec) * CHEAP_ENOUGH;
+  }
+
   /** Where starts count more than money, room for a burst is kept beside the work at hand. */
   private headroom(): Backlog[] {
     if (this.policy() !== 'fast') return [];
--- a/packages/scheduler/src/fleet.ts
+++ b/packages/scheduler/src/fleet.ts
@@ -6,6 +6,8 @@
 export interface Backlog {
   spec: JobSpec;
   tasks: number;
+  /** Most that a task's slot may cost an hour; work in no hurry waits for a cheap one. */
+  mostPrice?: number;
 }
 
 /** Free or coming capacity that need not be rented. */
@@ -47,7 +49,15 @@
     (o) => placeAllowed(backlog.spec, o, NOWHERE) && slots(wanted, o.size) > 0,
   );
   const price = (o: Offering) => slotPrice(o, wanted, tasks);
-  return able.sort((a, b) => price(a) - price(b))[0];
+  const best = able.sort((a, b) => price(a) - price(b))[0];
+  return best && price(best) <= (backlog.mostPrice ?? Infinity) ? best : undefined;
+}
+
+/** The least that a slot for such a task costs an hour, on a machine filled with them. */
+export function leastSlotPrice(all: Offering[], spec: JobSpec): number {
+  const wanted = need(spec);
+  const able = all.filter((o) => placeAllowed(spec, o, NOWHERE) && slots(wanted, o.size) > 0);
+  return Math.min(Infinity, ...able.map((o) => slotPrice(o, wanted, Infinity)));
 }
 
 function useRoom(room: Room[], backlog: Backlog): number {
