--- a/packages/controller/src/fleet-keeper.ts
+++ b/packages/controller/src/fleet-keeper.ts
@@ -37,6 +37,9 @@
 /** The cloud charges a machine that is returned for at least this long. */
 const LEAST_CHARGE = 60_000;
 const MOST_PLANNED = 60;
+/** After a take-over, this few silent machines, as a part of all, are given up this soon. */
+const SILENT_PATIENCE = 9000;
+const SILENT_PART = 0.15;
 /** Boots take up to half as long again as their type says. */
 const BOOT_LEAD = 1.5;
 /** A slot is cheap up to this multiple of the cheapest. */
@@ -273,6 +276,11 @@
     }
   }
 
+  /** What was refused is asked for elsewhere at once. */
+  private rentAgain(): void {
+    if (!this.term.closed && this.leadership.held() && this.rentals.size === 0) this.rent();
+  }
+
   /** Without an answer the same name is asked for again, so nothing is rented twice. */
   private repeatRentals(): void {
     for (const [request, r] of this.rentals) {
@@ -305,6 +313,7 @@
     }
     if ((hosts?.length ?? 0) < rental.count) {
       this.refused.set(placeKey(rental), this.rt.now + REFUSED_FOR);
+      if (this.rentals.size === 0) this.rt.after(0, () => this.rentAgain());
     }
     this.rt.env.log('info', { ...rental, hosts: hosts ?? [], status: r.status }, 'rental answered');
   }
@@ -378,7 +387,8 @@
 
   private shouldReturn(m: Machine): boolean {
     if (m.returning || this.vanished(m)) return true;
-    if (this.isOwned(m.id) || this.owned === null || !this.term.ready) return false;
+    if (this.isOwned(m.id) || this.owned === null || !this.term.loaded) return false;
+    if (!m.resolved) return this.holdsUpTerm();
     return this.idleLongEnough(m);
   }
 
@@ -394,6 +404,15 @@
     return this.listAsked - this.rt.settings.cloud.listLag * 2 > m.since;
   }
 
+  /**
+   * Few rented machines stay silent while the rest of the roster has reported:
+   * their return proves them gone sooner than the end of their lease would.
+   */
+  private holdsUpTerm(): boolean {
+    if (this.rt.now - this.term.acquired < SILENT_PATIENCE) return false;
+    return this.term.unresolved().length <= Math.max(1, this.term.machines.size * SILENT_PART);
+  }
+
   private idleLongEnough(m: Machine): boolean {
     if (m.idleSince === null || m.noticeUntil !== null) return false;
     const fast = this.policy() === 'fast';
--- a/packages/controller/src/placer.ts
+++ b/packages/controller/src/placer.ts
@@ -65,7 +65,7 @@
   private pass(): void {
     if (!this.term.loaded) return;
     for (const job of this.term.jobs.values()) job.release(this.rt.now);
-    if (!this.term.ready) return;
+    if (!this.term.settled) return;
     this.rescue();
     const jobs = this.waitingJobs();
     if (jobs.length === 0) return;
@@ -76,6 +76,7 @@
   private waitingJobs(): LiveJob[] {
     const ranked = [...this.term.jobs.values()]
       .filter((job) => job.open.size > 0 && job.backoffUntil <= this.rt.now)
+      .filter((job) => this.term.mayPlace(job))
       .map((job) => ({ job, key: this.rankOf(job) }));
     return ranked.sort((a, b) => compareJobs(a.key, b.key)).map((r) => r.job);
   }
@@ -147,7 +148,7 @@
     const zones = job.spec.oneZone ? [...new Set(allowed.map((d) => d.machine.zone))] : [null];
     const team = this.rt.settings.teams.find((t) => t.name === job.spec.team);
     const rest = { cpus: job.spec.cpus * job.open.size, gpus: job.spec.gpus * job.open.size };
-    if (!team || !withinLimit(team, this.term.teamUse(team.name), { ...rest, memoryGb: 0 })) {
+    if (!team || !withinLimit(team, this.limitUse(team.name), { ...rest, memoryGb: 0 })) {
       return false;
     }
     return zones.some((zone) => {
@@ -183,7 +184,17 @@
 
   private withinTeamLimit(job: LiveJob): boolean {
     const team = this.rt.settings.teams.find((t) => t.name === job.spec.team);
-    return !!team && withinLimit(team, this.term.teamUse(team.name), need(job.spec));
+    return !!team && withinLimit(team, this.limitUse(team.name), need(job.spec));
+  }
+
+  /** What counts against a limit: machines not accounted for may be full of the team's tasks. */
+  private limitUse(team: string): Resources {
+    let sum = this.term.teamUse(team);
+    for (const m of this.term.unresolved()) {
+      const type = typeOf(this.types(), m);
+      sum = plus(sum, type ?? { cpus: Infinity, gpus: Infinity, memoryGb: 0 });
+    }
+    return sum;
   }
 
   private allowedDesks(job: LiveJob, desks: Desk[]): Desk[] {
--- a/packages/controller/src/term.ts
+++ b/packages/controller/src/term.ts
@@ -76,11 +76,26 @@
     return sent + this.rt.settings.workerLease * LEASE_STRETCH + LEASE_MARGIN;
   }
 
-  /** Placing waits until each machine of the roster is accounted for. */
+  /** Each machine of the roster is accounted for. */
   get ready(): boolean {
-    if (!this.loaded || this.lookups > 0) return false;
-    for (const m of this.machines.values()) if (!m.resolved) return false;
-    return true;
+    return this.settled && this.unresolved().length === 0;
+  }
+
+  /** Everything that reports have shown so far is known by size and team. */
+  get settled(): boolean {
+    return this.loaded && this.lookups === 0;
+  }
+
+  unresolved(): Machine[] {
+    return [...this.machines.values()].filter((m) => !m.resolved);
+  }
+
+  /**
+   * Placing waits until the roster is accounted for. A job committed after this
+   * term's token is an exception: no older term can have started any of it.
+   */
+  mayPlace(job: LiveJob): boolean {
+    return this.ready || (this.settled && job.version > this.token);
   }
 
   start(): void {
@@ -441,7 +456,9 @@
   }
 
   private canStart(m: Machine): boolean {
-    return m.inRoster && !m.returning && this.ready && this.leadership.held() !== null;
+    return (
+      m.inRoster && m.resolved && !m.returning && this.settled && this.leadership.held() !== null
+    );
   }
 
   // --- bindings --------------------------------------------------------------
