--- a/packages/controller/src/placer.ts
+++ b/packages/controller/src/placer.ts
@@ -289,14 +289,23 @@
     for (const b of m.bindings.values()) {
       const other = this.term.jobs.get(b.job);
       if (!other || b.stop || b.phase !== 'seen') continue;
-      const lower = rank(other.spec) < rank(job.spec);
-      const borrowed = guaranteed && other.spec.team !== job.spec.team && this.borrows(other);
-      if (lower || borrowed)
+      if (this.mayStop(other, job, guaranteed))
         victims.push({ task: b.task, size: b.size, lost: lost(b, other, this.rt.now) });
     }
     return victims;
   }
 
+  /**
+   * Within a team priority decides. Work inside another team's guarantee gives
+   * way only to higher work that is inside its own: were it stopped for borrowed
+   * work, its team would reclaim the room at once, and so on without end.
+   */
+  private mayStop(other: LiveJob, job: LiveJob, guaranteed: boolean): boolean {
+    const lower = rank(other.spec) < rank(job.spec);
+    if (other.spec.team === job.spec.team) return lower;
+    return this.borrows(other) ? lower || guaranteed : lower && guaranteed;
+  }
+
   /** The team of this job uses more than its guarantee. */
   private borrows(job: LiveJob): boolean {
     const team = this.rt.settings.teams.find((t) => t.name === job.spec.team);
--- a/packages/testing/src/stories.test.ts
+++ b/packages/testing/src/stories.test.ts
@@ -321,6 +321,30 @@
   keepsRules(world);
 });
 
+// A day stood still with thousands of stops: borrowed work of higher priority
+// took the room of work inside a guarantee, which was reclaimed, without end.
+test('work inside a guarantee and higher borrowed work do not stop each other in turn', () => {
+  const world = settled({ capacity: 2, guarantee: 4 }, 2);
+  const low = { owner: 'other', urgency: 'idle', batch: 4, expected_s: 40 };
+  world.submit(job(1, low), 'n-0');
+  world.submit(job(2, { batch: 8, expected_s: 40 }), 'n-0');
+  world.run(60_000);
+  const stops = world.log.filter((l) => l.message === 'preempting').length;
+  assert.ok(stops <= 4, `${stops} stops`);
+  assert.ok(finished(world, A));
+  assert.ok(finished(world, 'run-000002'));
+  keepsRules(world);
+});
+
+test('a team gets its guarantee back from a team that borrows', () => {
+  const world = settled({ capacity: 2, guarantee: 4 }, 2);
+  world.submit(job(1, { batch: 8, expected_s: 300 }), 'n-0');
+  assert.ok(world.runUntil(() => running(world) === 8, 20_000));
+  world.submit(job(2, { owner: 'other', urgency: 'idle', batch: 4, expected_s: 10 }), 'n-0');
+  assert.ok(finished(world, 'run-000002', 60_000));
+  keepsRules(world);
+});
+
 test('a gang waits until all its tasks fit at once, and a service runs until cancelled', () => {
   const world = settled({ capacity: 2 }, 2);
   world.submit(job(1, { batch: 2, cpus: 3, shape: 'service', expected_s: 1e6 }), 'n-0');
--- a/packages/testing/src/world.ts
+++ b/packages/testing/src/world.ts
@@ -30,6 +30,8 @@
   seed?: number;
   capacity?: number;
   cpuLimit?: number;
+  /** Guarantee of each of two teams, `team` and `other`. */
+  guarantee?: number;
   runTime?: number;
   /** A task that fails wherever it runs, or on one machine. */
   fails?: (piece: string, machine: string) => boolean;
@@ -57,7 +59,7 @@
 const WORKER_LEASE = 20_000;
 const CANCEL_WITHIN = 45_000;
 
-export function settingsFor(member: string, cpuLimit: number): Settings {
+export function settingsFor(member: string, cpuLimit: number, guarantee = 0): Settings {
   const peers = NODES.filter((n) => n !== member).map((n) => ({ member: n, addr: `${n}:1` }));
   return {
     member,
@@ -69,7 +71,13 @@
     stateAddr: 'state:1',
     zones: ['a', 'b'],
     clockError: 0,
-    teams: [{ name: 'team', cpus: 0, cpusMax: cpuLimit, gpus: 0, gpusMax: Infinity }],
+    teams: ['team', 'other'].map((name) => ({
+      name,
+      cpus: guarantee,
+      cpusMax: cpuLimit,
+      gpus: 0,
+      gpusMax: Infinity,
+    })),
     objectives: [],
     reportEvery: 3000,
     workerLease: WORKER_LEASE,
@@ -112,7 +120,11 @@
       options.capacity ?? 4,
       (id) => this.dropWorker(id),
     );
-    const limits = new Map([['team', options.cpuLimit ?? 100]]);
+    const limit = options.cpuLimit ?? 100;
+    const limits = new Map([
+      ['team', limit],
+      ['other', limit],
+    ]);
     this.checker = new RuleChecker(() => this.clock, limits, CANCEL_WITHIN);
     for (const name of NODES) this.boot(name);
   }
@@ -156,7 +168,7 @@
   // --- nodes -----------------------------------------------------------------
 
   boot(name: string): void {
-    const settings = settingsFor(name, this.options.cpuLimit ?? 100);
+    const settings = settingsFor(name, this.options.cpuLimit ?? 100, this.options.guarantee);
     settings.workerLease = this.options.believedLease ?? WORKER_LEASE;
     const operator = parseOperatorSettings('[leadership]\nlease_s = 10\n');
     const log = (_level: string, fields: Record<string, unknown>, message: string) =>
