--- a/packages/testing/src/rule-checker.ts
+++ b/packages/testing/src/rule-checker.ts
@@ -87,7 +87,9 @@
   }
 
   ended(task: string, machine: string, reason: string): void {
-    this.running.get(task)?.delete(machine);
+    const on = this.running.get(task);
+    on?.delete(machine);
+    if (on?.size === 0) this.running.delete(task);
     if (reason === 'done') this.jobOf(task)?.doneTasks.add(task);
   }
 
