--- a/packages/wire/src/settings.ts
+++ b/packages/wire/src/settings.ts
@@ -145,7 +145,7 @@
     })
     .prefault({}),
   leadership: z
-    .object({ lease_s: number(12, 2, 120), resign_deaf_s: number(6, 2, 120) })
+    .object({ lease_s: number(7, 2, 120), resign_deaf_s: number(6, 2, 120) })
     .prefault({}),
   fleet: z
     .object({
