--- a/packages/controller/src/placer.ts
+++ b/packages/controller/src/placer.ts
@@ -22,6 +22,7 @@
 import type { LiveJob, OpenTask } from './live-job.js';
 import type { Binding, Machine } from './machine.js';
 import type { Runtime } from './runtime.js';
+import { guaranteedJobs, nextDue } from './slack.js';
 import { typeOf, type Term } from './term.js';
 
 const PASS_EVERY = 100;
@@ -79,19 +80,20 @@
   }
 
   private waitingJobs(): LiveJob[] {
+    const inside = guaranteedJobs(this.term.jobs.values(), this.rt.settings);
     const ranked = [...this.term.jobs.values()]
       .filter((job) => job.open.size > 0 && job.backoffUntil <= this.rt.now)
       .filter((job) => this.term.mayPlace(job))
-      .map((job) => ({ job, key: this.rankOf(job) }));
+      .map((job) => ({ job, key: this.rankOf(job, inside) }));
     return ranked.sort((a, b) => compareJobs(a.key, b.key)).map((r) => r.job);
   }
 
-  private rankOf(job: LiveJob): Ranked {
+  private rankOf(job: LiveJob, inside: Set<string>): Ranked {
     const ratio = this.term.ratios.get(job.spec.jobClass) ?? 1;
     return {
       spec: job.spec,
       submitted: job.submitted,
-      expected: job.spec.estimate * ratio,
+      due: nextDue(job, ratio, inside.has(job.id), this.rt.settings, this.rt.now),
       guaranteed: this.belowGuarantee(job),
     };
   }
--- a/packages/controller/src/slack.ts
+++ b/packages/controller/src/slack.ts
@@ -21,6 +21,25 @@
   return inside;
 }
 
+/** Until when the job's tasks should start: one instant for each aim and the deadline. */
+function startAims(
+  job: LiveJob,
+  ratio: number,
+  guaranteed: boolean,
+  settings: Settings,
+): Instant[] {
+  const { deadline, estimate, jobClass } = job.spec;
+  const run = estimate * ratio * LONGEST_TASK;
+  const aims = settings.objectives.flatMap((o) => {
+    if (o.within === null) return [];
+    if (o.kind === 'guarantee') return guaranteed ? [o.within] : [];
+    if (o.jobClass !== jobClass) return [];
+    return o.kind === 'wait' ? [o.within] : o.kind === 'finished' ? [o.within - run] : [];
+  });
+  if (deadline !== null) aims.push(deadline - run);
+  return aims.map((within) => job.submitted + within);
+}
+
 /** When the job's tasks should have started, by its deadline and the aims for its class. */
 export function latestStart(
   job: LiveJob,
@@ -28,16 +47,17 @@
   guaranteed: boolean,
   settings: Settings,
 ): Instant {
-  const { deadline, estimate, jobClass } = job.spec;
-  const waits = settings.objectives
-    .filter((o) => o.within !== null)
-    .filter(
-      (o) =>
-        (o.kind === 'wait' && o.jobClass === jobClass) || (o.kind === 'guarantee' && guaranteed),
-    )
-    .map((o) => o.within!);
-  const run = estimate * ratio * LONGEST_TASK;
-  return (
-    job.submitted + Math.min(Infinity, deadline === null ? Infinity : deadline - run, ...waits)
-  );
+  return Math.min(Infinity, ...startAims(job, ratio, guaranteed, settings));
+}
+
+/** The first of those that can still be met; Infinity when none can. */
+export function nextDue(
+  job: LiveJob,
+  ratio: number,
+  guaranteed: boolean,
+  settings: Settings,
+  now: Instant,
+): Instant {
+  const left = startAims(job, ratio, guaranteed, settings).filter((aim) => aim >= now);
+  return Math.min(Infinity, ...left);
 }
--- a/packages/scheduler/src/order.ts
+++ b/packages/scheduler/src/order.ts
@@ -8,27 +8,21 @@
 export interface Ranked {
   spec: JobSpec;
   submitted: Instant;
-  /** How long a task is expected to run, learnt or as estimated. */
-  expected: number;
+  /** Latest start for the next aim that can still be met; Infinity when none can. */
+  due: Instant;
   /** True while the job's team is below its guarantee. */
   guaranteed: boolean;
 }
 
-/** When the job's next task has to start for the job to meet its deadline. */
-function latestStart(job: Ranked): Instant {
-  if (job.spec.deadline === null) return Infinity;
-  return job.submitted + job.spec.deadline - job.expected;
-}
-
 /**
  * Guaranteed work first, so that what was reclaimed for it is not taken by
- * others; then priority, the least slack, the oldest.
+ * others; then priority, the aim that is due first, the oldest. In overload
+ * work that has missed its aims waits for work that can still meet them.
  */
 export function compareJobs(a: Ranked, b: Ranked): number {
   if (a.guaranteed !== b.guaranteed) return a.guaranteed ? -1 : 1;
   const byRank = rank(b.spec) - rank(a.spec);
   if (byRank !== 0) return byRank;
-  const [slackA, slackB] = [latestStart(a), latestStart(b)];
-  if (slackA !== slackB) return slackA - slackB;
+  if (a.due !== b.due) return a.due - b.due;
   return a.submitted - b.submitted;
 }
