--- a/packages/controller/src/completer.ts
+++ b/packages/controller/src/completer.ts
@@ -46,7 +46,7 @@
   private flush(): void {
     if (this.busy || !this.term.loaded || !this.leadership.held()) return;
     const batch = this.fill(this.changes());
-    if (batch.length === 0) return;
+    if (batch.length === 0) return this.removeOrphans();
     this.busy = true;
     const guards = [this.leadership.guard(), ...batch.map((c) => c.guard)];
     const writes = batch.flatMap((c) => c.writes);
@@ -57,6 +57,18 @@
     });
   }
 
+  /** Progress of jobs that have ended, a few keys at a time when nothing else is to be done. */
+  private removeOrphans(): void {
+    const keys = this.term.orphans.splice(0, DISPLAY_WRITES);
+    if (keys.length === 0) return;
+    this.busy = true;
+    const writes = keys.map((key) => ({ remove: key }));
+    this.state.commit([this.leadership.guard()], writes, PRIORITY.background, (committed) => {
+      this.busy = false;
+      if (committed.kind !== 'ok') this.term.orphans.push(...keys);
+    });
+  }
+
   private changes(): Change[] {
     const changes: Change[] = [];
     for (const job of this.term.jobs.values()) {
@@ -82,7 +94,7 @@
   private ending(job: LiveJob): Change {
     const value: EndedValue = { state: 'done', spec: job.spec };
     const room = this.rt.settings.state.txnOps - 2;
-    // Chunks that do not fit are left behind; a later term removes them.
+    // Chunks that do not fit into the transaction are removed afterwards.
     const chunks = [...job.storedChunks].slice(0, room);
     return {
       guard: { key: specKey(job.id), version: job.version },
@@ -91,7 +103,11 @@
         { remove: specKey(job.id) },
         ...chunks.map((c) => ({ remove: chunkKey(job.id, c) })),
       ],
-      done: () => this.term.endJob(job.id),
+      done: () => {
+        this.term.endJob(job.id);
+        const rest = [...job.storedChunks].slice(room);
+        this.term.orphans.push(...rest.map((c) => chunkKey(job.id, c)));
+      },
     };
   }
 
--- a/packages/controller/src/term.ts
+++ b/packages/controller/src/term.ts
@@ -56,6 +56,8 @@
   closed = false;
   /** Learnt ratio of actual to estimated run time, by class. */
   readonly ratios = new Map<string, number>();
+  /** Keys of progress whose job has ended. */
+  readonly orphans: string[] = [];
   private readonly gone = new Set<string>();
   private readonly early = new Map<string, WorkerReport>();
   private lookups = 0;
@@ -153,16 +155,18 @@
   }
 
   private loadJobs(items: StateItem[]): void {
-    const chunks: { job: string; rest: string; value: unknown }[] = [];
+    const chunks: { key: string; job: string; rest: string; value: unknown }[] = [];
     for (const item of items) {
       const at = splitLiveKey(item.key);
       if (!at) continue;
       if (at.rest === 'spec') this.addJob(at.job, item.value as LiveValue, item.version);
-      else chunks.push({ ...at, value: item.value });
+      else chunks.push({ ...at, key: item.key, value: item.value });
     }
     for (const c of chunks) {
       const index = Number(c.rest.split('/')[1]);
-      this.jobs.get(c.job)?.loadChunk(index, c.value as ChunkValue);
+      const job = this.jobs.get(c.job);
+      if (job) job.loadChunk(index, c.value as ChunkValue);
+      else this.orphans.push(c.key);
     }
   }
 
--- a/packages/testing/src/stories.test.ts
+++ b/packages/testing/src/stories.test.ts
@@ -398,6 +398,18 @@
   keepsRules(world);
 });
 
+test('what a big job leaves behind in the state service is removed', () => {
+  const world = settled({ runTime: 200, capacity: 2, txnOps: 2 }, 2);
+  world.submit(job(1, { batch: 8200, cpus: 0.005, mem_gb: 0.005 }), 'n-0');
+  assert.ok(finished(world, A, 300_000));
+  const left = () => [...world.state.keys.keys()].filter((k) => k.includes('/live/'));
+  assert.ok(
+    world.runUntil(() => left().length === 0, 10_000),
+    left().join(),
+  );
+  keepsRules(world);
+});
+
 function countDone(value: unknown): number {
   return (value as { done: number }).done;
 }
--- a/packages/testing/src/world.ts
+++ b/packages/testing/src/world.ts
@@ -32,6 +32,8 @@
   cpuLimit?: number;
   /** Guarantee of each of two teams, `team` and `other`. */
   guarantee?: number;
+  /** Changes that one transaction may hold. */
+  txnOps?: number;
   runTime?: number;
   /** A task that fails wherever it runs, or on one machine. */
   fails?: (piece: string, machine: string) => boolean;
@@ -170,6 +172,7 @@
   boot(name: string): void {
     const settings = settingsFor(name, this.options.cpuLimit ?? 100, this.options.guarantee);
     settings.workerLease = this.options.believedLease ?? WORKER_LEASE;
+    settings.state.txnOps = this.options.txnOps ?? settings.state.txnOps;
     const operator = parseOperatorSettings('[leadership]\nlease_s = 10\n');
     const log = (_level: string, fields: Record<string, unknown>, message: string) =>
       void this.log.push({ node: name, message, fields });
