--- a/packages/controller/src/placer.ts
+++ b/packages/controller/src/placer.ts
@@ -32,6 +32,9 @@
 const STOP_TIME = 4000;
 /** A start that is stopped sooner than this was in vain for whoever waited for it. */
 const FRESH_START = 30_000;
+/** How long before an aim, or after how long without room, a guarantee is reclaimed. */
+const RECLAIM_AHEAD = 30_000;
+const RECLAIM_PATIENCE = 60_000;
 
 /** Room on each machine while one pass goes on. */
 interface Desk {
@@ -273,7 +276,7 @@
 
   private makeRoom(job: LiveJob, desks: Desk[]): void {
     if (desks.some((d) => fits(need(job.spec), d.coming))) return;
-    const guaranteed = this.belowGuarantee(job);
+    const guaranteed = this.belowGuarantee(job) && this.reclaims(job);
     const offers = desks.map((d): Offer => ({
       machine: d.machine.id,
       free: d.coming,
@@ -285,6 +288,17 @@
     for (const victim of plan.victims) this.stopVictim(desk, victim, job);
   }
 
+  /**
+   * Borrowed work that can't save loses all it did, and most room comes free by
+   * itself: a guarantee is reclaimed only when an aim would be missed otherwise.
+   */
+  private reclaims(job: LiveJob): boolean {
+    const ratio = this.term.ratios.get(job.spec.jobClass) ?? 1;
+    const due = nextDue(job, ratio, true, this.rt.settings, this.rt.now);
+    const starved = this.rt.now - (job.starvedSince ?? this.rt.now);
+    return due - this.rt.now < RECLAIM_AHEAD || starved > RECLAIM_PATIENCE;
+  }
+
   private stopVictim(desk: Desk, victim: Victim, job: LiveJob): void {
     const b = [...desk.machine.bindings.values()].find((x) => x.task === victim.task && !x.stop);
     if (!b) return;
