--- a/packages/controller/src/placer.ts
+++ b/packages/controller/src/placer.ts
@@ -327,15 +327,18 @@
   private mayStop(other: LiveJob, job: LiveJob, guaranteed: boolean): boolean {
     const lower = rank(other.spec) < rank(job.spec);
     if (other.spec.team === job.spec.team) return lower;
-    return this.borrows(other) ? lower || guaranteed : lower && guaranteed;
+    return this.borrows(other, job) ? lower || guaranteed : lower && guaranteed;
   }
 
-  /** The team of this job uses more than its guarantee. */
-  private borrows(job: LiveJob): boolean {
-    const team = this.rt.settings.teams.find((t) => t.name === job.spec.team);
+  /**
+   * The other team uses so much beyond its guarantee that it stays at it without
+   * what the task needs. Were less enough, it would reclaim the rest at once.
+   */
+  private borrows(other: LiveJob, job: LiveJob): boolean {
+    const team = this.rt.settings.teams.find((t) => t.name === other.spec.team);
     if (!team) return false;
-    const used = this.term.teamUse(team.name);
-    return used.cpus > team.cpus || used.gpus > team.gpus;
+    const left = minus(this.term.teamUse(team.name, true), need(job.spec));
+    return left.cpus >= team.cpus && left.gpus >= team.gpus;
   }
 
   // --- machines that are about to be taken -----------------------------------
--- a/packages/controller/src/term.ts
+++ b/packages/controller/src/term.ts
@@ -519,11 +519,12 @@
     for (const b of [...m.bindings.values()]) if (b.phase === 'booked') this.unbind(b);
   }
 
-  /** Everything bound to a team, the unproven too. */
-  teamUse(team: string): Resources {
+  /** Everything bound to a team, the unproven too; `staying` leaves out what is being stopped. */
+  teamUse(team: string, staying = false): Resources {
     let sum = NOTHING;
     for (const m of this.machines.values()) {
-      for (const b of m.bindings.values()) if (b.team === team) sum = plus(sum, b.size);
+      for (const b of m.bindings.values())
+        if (b.team === team && !(staying && b.stop)) sum = plus(sum, b.size);
     }
     return sum;
   }
--- a/packages/testing/src/stories.test.ts
+++ b/packages/testing/src/stories.test.ts
@@ -349,6 +349,22 @@
   keepsRules(world);
 });
 
+// A third form: large tasks stopped two small ones of a team that was one beyond
+// its guarantee; it was then below it, and reclaimed what had just come free.
+test('a team is not pushed below its guarantee', () => {
+  const world = settled({ capacity: 2, guarantee: 3 }, 2);
+  world.submit(job(1, { batch: 40, expected_s: 200 }), 'n-0');
+  assert.ok(world.runUntil(() => running(world) === 8, 20_000));
+  world.submit(
+    job(2, { owner: 'other', urgency: 'idle', batch: 6, cpus: 2, expected_s: 300 }),
+    'n-0',
+  );
+  world.run(200_000);
+  const stops = world.log.filter((l) => l.message === 'preempting').length;
+  assert.ok(stops > 0 && stops <= 8, `${stops} stops`);
+  keepsRules(world);
+});
+
 test('a gang waits until all its tasks fit at once, and a service runs until cancelled', () => {
   const world = settled({ capacity: 2 }, 2);
   world.submit(job(1, { batch: 2, cpus: 3, shape: 'service', expected_s: 1e6 }), 'n-0');
