--- a/packages/adapters/src/service.ts
+++ b/packages/adapters/src/service.ts
@@ -132,8 +132,7 @@
       take(this.stateWrites, call.writes, () => take(this.stateCalls, 1, send));
     } else if (call.target === 'cloud') {
       take(this.cloudCalls, 1, () => this.send(this.cloudHttp, settings.cloudAddr, call, done));
-    } else if (call.target === 'peer') this.peers.ask(call, done);
-    else this.send(this.cloudHttp, call.to, call, done);
+    } else this.peers.ask(call, done);
   }
 
   private send(
--- a/packages/controller/src/ports.ts
+++ b/packages/controller/src/ports.ts
@@ -9,7 +9,7 @@
 
 export type Via = 'public' | 'peer';
 
-export type Target = 'state' | 'cloud' | 'worker' | 'peer';
+export type Target = 'state' | 'cloud' | 'peer';
 
 /** Lower goes first when tokens are short. */
 export const PRIORITY = { lease: 0, user: 1, leader: 2, background: 3 } as const;
@@ -17,7 +17,7 @@
 
 export interface Call {
   target: Target;
-  /** Address of a worker, or name of a peer. */
+  /** Name of a peer; empty for the others. */
   to: string;
   method: string;
   path: string;
--- a/packages/testing/src/world.ts
+++ b/packages/testing/src/world.ts
@@ -253,7 +253,7 @@
   private call(from: string, call: Call, done: (result: CallResult) => void): void {
     const lost = () => this.at(call.timeout, () => done({ kind: 'lost' }));
     if (call.target === 'peer') return this.relay(from, call, done);
-    if (call.target === 'worker' || this.cut(from, call.target)) return lost();
+    if (this.cut(from, call.target)) return lost();
     if (call.target === 'cloud') return done(this.cloud.handle(call.path, call.body));
     const fault = this.stateFault?.(from, call);
     if (fault === 'lost_before') return lost();
--- a/packages/wire/src/jobs.ts
+++ b/packages/wire/src/jobs.ts
@@ -80,33 +80,6 @@
   };
 }
 
-/** The inverse of `parseSubmission`, for clients. */
-export function renderSubmission(spec: JobSpec): Record<string, unknown> {
-  const urgency = Object.keys(PRIORITIES).find((key) => PRIORITIES[key] === spec.priority);
-  return {
-    ref: spec.id,
-    jobclass: spec.jobClass,
-    owner: spec.team,
-    shape: Object.keys(KINDS).find((key) => KINDS[key] === spec.kind),
-    urgency,
-    batch: spec.taskCount,
-    cpus: spec.cpus,
-    accelerators: spec.gpus,
-    mem_gb: spec.memoryGb,
-    bundle: spec.image,
-    image_gb: spec.imageGb,
-    flavours: spec.types,
-    hall: spec.zone,
-    same_place: spec.oneZone,
-    apart: spec.spread,
-    spare: spec.spot,
-    expected_s: spec.estimate / 1000,
-    snapshot_s: spec.checkpoint / 1000,
-    flush_s: spec.save / 1000,
-    due_s: spec.deadline === null ? null : spec.deadline / 1000,
-  };
-}
-
 export function renderJobView(view: JobView): Record<string, unknown> {
   return {
     ref: view.id,
--- a/packages/wire/src/workers.ts
+++ b/packages/wire/src/workers.ts
@@ -4,7 +4,6 @@
 import type { ExitReason, Order, TaskState, WorkerReport } from './domain.js';
 
 export const REPORT_PATH = '/hello';
-export const COMMANDS_PATH = '/commands';
 
 const STATES: Record<string, TaskState> = {
   pulling: 'fetching',
@@ -83,9 +82,5 @@
   return { fence: token, orders: orders.map(renderOrder) };
 }
 
-export function renderCommands(token: number, session: number, orders: Order[]) {
-  return { fence: token, shift: session, orders: orders.map(renderOrder) };
-}
-
 export const renderRedirect = (leader: string | null): Record<string, unknown> =>
   leader === null ? {} : { upstream: leader };
