--- a/packages/testing/src/stories.test.ts
+++ b/packages/testing/src/stories.test.ts
@@ -110,6 +110,25 @@
   keepsRules(world);
 });
 
+test('a late report after a take-over changes nothing and gets no orders', () => {
+  const world = settled({}, 1);
+  const worker = [...world.workers.values()][0]!;
+  const token = worker.fence;
+  world.crash(world.leader()!);
+  world.run(15_000);
+  assert.ok(worker.fence > token, 'the worker has seen the new leader');
+  const piece = { piece: 'run-000009/0', try_no: 1, status: 'running' };
+  const { id, type, zone } = worker.machine;
+  const place = { host: id, addr: 'x:1', flavour: type, hall: zone, spare: false };
+  const late = { ...place, shift: 1, tally: 1, fence: token, warning_s: null, batch: [piece] };
+  const reply = world.raw(world.leader()!, 'POST', '/hello', packBody(late));
+  assert.equal(reply?.status, 200);
+  assert.deepEqual((reply?.body as { orders: unknown[] }).orders, []);
+  world.submit(job(1, { batch: 4 }), world.leader()!);
+  assert.ok(finished(world, A), 'the whole machine is still free for work');
+  keepsRules(world);
+});
+
 test('a restarted controller takes its own leadership over with a new token', () => {
   const world = settled();
   const old = world.leader()!;
