--- a/packages/adapters/src/peer-link.ts
+++ b/packages/adapters/src/peer-link.ts
@@ -1,5 +1,12 @@
 import { connect, createServer, type Server, type Socket } from 'node:net';
-import { PeerDecoder, packBody, packPeer, unpackBody, type PeerMessage } from '@tealdock/wire';
+import {
+  PeerDecoder,
+  packBody,
+  packPeer,
+  unpackBody,
+  type JobCount,
+  type PeerMessage,
+} from '@tealdock/wire';
 import type { Call, CallResult, Log } from '@tealdock/controller';
 import { splitAddress } from './http-client.js';
 
@@ -11,6 +18,7 @@
 
 export interface PeerEvents {
   beat(message: Extract<PeerMessage, { kind: 'beat' }>): void;
+  counts(message: Extract<PeerMessage, { kind: 'counts' }>): void;
   ask(
     message: Extract<PeerMessage, { kind: 'ask' }>,
     respond: (status: number, body: unknown) => void,
@@ -48,6 +56,11 @@
     for (const socket of this.sockets.values()) this.write(socket, frame);
   }
 
+  tellCounts(jobs: JobCount[]): void {
+    const frame = packPeer({ kind: 'counts', jobs });
+    for (const socket of this.sockets.values()) this.write(socket, frame);
+  }
+
   ask(call: Call, done: (result: CallResult) => void): void {
     const socket = this.sockets.get(call.to);
     if (!socket) return done({ kind: 'unsent' });
@@ -107,6 +120,7 @@
 
   private take(socket: Socket, message: PeerMessage): void {
     if (message.kind === 'beat') this.events.beat(message);
+    else if (message.kind === 'counts') this.events.counts(message);
     else if (message.kind === 'answer') {
       const body = message.body.length > 0 ? unpackBody(message.body) : null;
       this.settle(message.id, { kind: 'answer', status: message.status, body });
--- a/packages/adapters/src/service.ts
+++ b/packages/adapters/src/service.ts
@@ -58,6 +58,7 @@
       settings.peers,
       {
         beat: (m) => this.push({ ...m }),
+        counts: (m) => this.push({ ...m }),
         ask: (m, respond) =>
           this.request('peer', m.method, m.path, m.body, (r) => respond(r.status, r.body)),
       },
@@ -117,7 +118,8 @@
     } else if (effect.kind === 'beat') {
       const { leader, token, stateOk } = effect;
       this.peers.beat(this.parts.settings.member, leader, token, stateOk);
-    } else this.call(effect.id, effect.call);
+    } else if (effect.kind === 'counts') this.peers.tellCounts(effect.jobs);
+    else this.call(effect.id, effect.call);
   }
 
   private call(id: number, call: Call): void {
--- a/packages/controller/src/completer.ts
+++ b/packages/controller/src/completer.ts
@@ -1,5 +1,5 @@
 import type { Guard, Write } from '@tealdock/wire';
-import { chunkKey, endedKey, specKey, type EndedValue } from './keys.js';
+import { endedKey, progressEntry, specKey, type EndedValue } from './keys.js';
 import type { Leadership } from './leadership.js';
 import type { LiveJob } from './live-job.js';
 import { PRIORITY } from './ports.js';
@@ -8,15 +8,15 @@
 import type { Term } from './term.js';
 
 const FLUSH_EVERY = 250;
-/** Writes a flush may spend on counts that are only for display. */
-const DISPLAY_WRITES = 2;
-const DISPLAY_EVERY = 2000;
+/** Progress of jobs that go on: one change holds that of many jobs, so it is gathered. */
+const PROGRESS_EVERY = 1000;
+const MOST_ORPHANS = 4;
 
-/** The change that one job asks for, and what to do once it is committed. */
-interface Change {
+/** The end of one job, to be committed. */
+interface Ending {
+  job: LiveJob;
   guard: Guard;
   writes: Write[];
-  done: () => void;
 }
 
 /**
@@ -27,7 +27,6 @@
  */
 export class Completer {
   private busy = false;
-  private lastDisplay = 0;
 
   constructor(
     private readonly rt: Runtime,
@@ -37,115 +36,86 @@
   ) {}
 
   start(): void {
-    this.rt.every(FLUSH_EVERY, () => {
-      if (!this.term.closed) this.flush();
+    this.repeat(FLUSH_EVERY, () => this.flush());
+    this.repeat(PROGRESS_EVERY, () => this.noteProgress());
+  }
+
+  private repeat(period: number, run: () => void): void {
+    this.rt.every(period, () => {
+      if (!this.term.closed && this.term.loaded && this.leadership.held()) run();
       return !this.term.closed;
     });
   }
 
   private flush(): void {
-    if (this.busy || !this.term.loaded || !this.leadership.held()) return;
-    const batch = this.fill(this.changes());
+    if (this.busy) return;
+    const batch = this.endings();
     if (batch.length === 0) return this.removeOrphans();
     this.busy = true;
-    const guards = [this.leadership.guard(), ...batch.map((c) => c.guard)];
-    const writes = batch.flatMap((c) => c.writes);
+    const guards = [this.leadership.guard(), ...batch.map((e) => e.guard)];
+    const writes = batch.flatMap((e) => e.writes);
     this.state.commit(guards, writes, PRIORITY.leader, (committed) => {
       this.busy = false;
-      if (committed.kind === 'ok') for (const c of batch) c.done();
+      if (committed.kind === 'ok') for (const e of batch) this.ended(e.job);
       else if (committed.kind === 'conflict') this.reconcile(batch);
     });
   }
 
-  /** Progress of jobs that have ended, a few keys at a time when nothing else is to be done. */
-  private removeOrphans(): void {
-    const keys = this.term.orphans.splice(0, DISPLAY_WRITES);
-    if (keys.length === 0) return;
-    this.busy = true;
-    const writes = keys.map((key) => ({ remove: key }));
-    this.state.commit([this.leadership.guard()], writes, PRIORITY.background, (committed) => {
-      this.busy = false;
-      if (committed.kind !== 'ok') this.term.orphans.push(...keys);
-    });
-  }
-
-  private changes(): Change[] {
-    const changes: Change[] = [];
+  /** As many as one transaction takes. */
+  private endings(): Ending[] {
+    const batch: Ending[] = [];
+    const most = Math.floor(this.rt.settings.state.txnOps / 2);
     for (const job of this.term.jobs.values()) {
-      if (job.complete) changes.push(this.ending(job));
-      else for (const chunk of job.dirtyChunks()) changes.push(this.progress(job, chunk));
-    }
-    if (changes.length === 0) changes.push(...this.display());
-    return changes;
-  }
-
-  /** As many changes as one transaction takes. */
-  private fill(changes: Change[]): Change[] {
-    const batch: Change[] = [];
-    let writes = 0;
-    for (const change of changes) {
-      writes += change.writes.length;
-      if (writes > this.rt.settings.state.txnOps) break;
-      batch.push(change);
+      if (batch.length === most) break;
+      if (job.complete) batch.push(ending(job));
     }
     return batch;
   }
 
-  private ending(job: LiveJob): Change {
-    const value: EndedValue = { state: 'done', spec: job.spec };
-    const room = this.rt.settings.state.txnOps - 2;
-    // Chunks that do not fit into the transaction are removed afterwards.
-    const chunks = [...job.storedChunks].slice(0, room);
-    return {
-      guard: { key: specKey(job.id), version: job.version },
-      writes: [
-        { put: endedKey(job.id), value },
-        { remove: specKey(job.id) },
-        ...chunks.map((c) => ({ remove: chunkKey(job.id, c) })),
-      ],
-      done: () => {
-        this.term.endJob(job.id);
-        const rest = [...job.storedChunks].slice(room);
-        this.term.orphans.push(...rest.map((c) => chunkKey(job.id, c)));
-      },
-    };
+  private ended(job: LiveJob): void {
+    for (const chunk of job.chunks()) this.term.progress.delete(progressEntry(job.id, chunk));
+    this.term.endJob(job.id);
   }
 
-  private progress(job: LiveJob, chunk: number): Change {
-    const covered = [...job.uncommitted];
-    const value = job.chunkValue(chunk);
-    return {
-      guard: { key: specKey(job.id), version: job.version },
-      writes: [{ put: chunkKey(job.id, chunk), value }],
-      done: () => {
-        job.storedChunks.add(chunk);
-        if (chunk === 0) job.shownRunning = value.running;
-        for (const i of covered) if (job.chunkOf(i) === chunk) job.uncommitted.delete(i);
-      },
-    };
+  private noteProgress(): void {
+    for (const job of this.term.jobs.values()) {
+      if (job.complete) continue;
+      for (const chunk of job.dirtyChunks()) {
+        this.term.progress.set(progressEntry(job.id, chunk), job.chunkBits(chunk));
+      }
+    }
   }
 
-  /** Counts of running tasks, when nothing else wants to be written. */
-  private display(): Change[] {
-    if (this.rt.now - this.lastDisplay < DISPLAY_EVERY) return [];
-    this.lastDisplay = this.rt.now;
-    return [...this.term.jobs.values()]
-      .filter((job) => job.running !== job.shownRunning)
-      .slice(0, DISPLAY_WRITES)
-      .map((job) => this.progress(job, 0));
+  /** Keys that belong to no job, a few at a time when nothing else is to be done. */
+  private removeOrphans(): void {
+    const keys = this.term.orphans.splice(0, MOST_ORPHANS);
+    if (keys.length === 0) return;
+    this.busy = true;
+    const writes = keys.map((key) => ({ remove: key }));
+    this.state.commit([this.leadership.guard()], writes, PRIORITY.background, (committed) => {
+      this.busy = false;
+      if (committed.kind !== 'ok') this.term.orphans.push(...keys);
+    });
   }
 
   /**
    * Some job of the batch has ended, or leadership is gone. Whoever ended the
    * job wrote its ended key, also when an earlier commit of ours got no answer.
    */
-  private reconcile(batch: Change[]): void {
-    for (const change of batch) {
-      const job = [...this.term.jobs.values()].find((j) => specKey(j.id) === change.guard.key);
-      if (!job) continue;
+  private reconcile(batch: Ending[]): void {
+    for (const { job } of batch) {
       this.state.get(endedKey(job.id), PRIORITY.leader, (got) => {
-        if (got.kind === 'found') this.term.endJob(job.id);
+        if (got.kind === 'found') this.ended(job);
       });
     }
   }
 }
+
+function ending(job: LiveJob): Ending {
+  const value: EndedValue = { state: 'done', spec: job.spec };
+  return {
+    job,
+    guard: { key: specKey(job.id), version: job.version },
+    writes: [{ put: endedKey(job.id), value }, { remove: specKey(job.id) }],
+  };
+}
--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -5,6 +5,7 @@
   renderRedirect,
   renderReportAnswer,
   unpackBody,
+  type Duration,
   type Instant,
   type WorkerReport,
 } from '@tealdock/wire';
@@ -25,6 +26,8 @@
 /** A new node is healthy once it can judge submissions, or after this long anyway. */
 const START_PATIENCE = 6000;
 const CHECK_EVERY = 1000;
+const COUNTS_EVERY = 2000;
+const MOST_COUNTS = 4000;
 /** A term is given this long to hear its first reports. */
 const DEAF_GRACE = 12_000;
 
@@ -56,7 +59,9 @@
     );
     this.catalog = new Catalog(this.rt, this.state, this.leadership);
     this.peers = new Peers(this.rt);
-    this.requests = new Requests(this.rt, this.state, this.catalog, this.peers);
+    this.requests = new Requests(this.rt, this.state, this.catalog, this.peers, (id) =>
+      this.peers.countsOf(id),
+    );
   }
 
   process(commands: Command[], now: Instant, today: Date): Effect[] {
@@ -65,7 +70,7 @@
     if (this.startedAt === null) this.start();
     for (const command of commands) this.apply(command);
     this.rt.runDue();
-    this.held?.release(this.leadership.held());
+    this.held?.release();
     return this.rt.takeEffects();
   }
 
@@ -83,11 +88,16 @@
       this.resignIfDeaf();
       return true;
     });
+    this.rt.every(COUNTS_EVERY, () => {
+      this.tellCounts();
+      return true;
+    });
   }
 
   private apply(command: Command): void {
     if (command.kind === 'result') this.rt.settle(command.id, command.result);
     else if (command.kind === 'beat') this.peers.hear(command);
+    else if (command.kind === 'counts') this.peers.hearCounts(command.jobs);
     else if (command.kind === 'request') this.route(command);
   }
 
@@ -95,14 +105,26 @@
     this.rt.beat(this.leadership.leader ?? '', this.term?.token ?? 0, this.state.ok);
   }
 
+  /** Counts for display: the leader tells the others, and users as well. */
+  private tellCounts(): void {
+    if (!this.term || !this.leadership.held()) return;
+    const jobs = [...this.term.jobs.values()].slice(0, MOST_COUNTS).map((job) => ({
+      id: job.id,
+      done: job.doneCount,
+      running: job.countRunning(),
+    }));
+    this.rt.tellCounts(jobs);
+    this.peers.hearCounts(jobs);
+  }
+
   // --- leadership ------------------------------------------------------------
 
   private begin(token: number): void {
     this.term?.close();
+    this.held?.release();
     const term = new Term(this.rt, this.state, this.leadership, token);
-    this.held?.release(null);
     this.term = term;
-    this.held = new HeldAnswers(this.rt, term);
+    this.held = new HeldAnswers(this.rt, term, () => this.leadership.held());
     const types = () => this.catalog.types;
     const fleet = new FleetKeeper(this.rt, this.state, this.leadership, term, types);
     const placer = new Placer(
@@ -122,7 +144,7 @@
   private endTerm(): void {
     this.rt.env.log('info', { token: this.term?.token }, 'no longer leading');
     this.term?.close();
-    this.held?.release(null);
+    this.held?.release();
     this.term = null;
     this.held = null;
   }
@@ -178,11 +200,11 @@
     this.leadership.outranked(report.token);
     const held = this.leadership.held();
     if (!held || !this.term) return this.redirect(request);
-    this.held?.drop(report.machine, held);
-    const orders = this.term.report(report);
-    if (orders.length === 0 && this.term.mayHold(report)) {
-      return this.held?.hold(report.machine, request.id);
-    }
+    const { counted, orders } = this.term.report(report);
+    // Only a newer report shows that the one before was given up; a late copy does not.
+    if (counted) this.held?.drop(report.machine, held);
+    const hold = counted && orders.length === 0 ? this.holdFor(report) : 0;
+    if (hold > 0) return this.held?.hold(report.machine, request.id, hold);
     this.rt.reply(request.id, {
       status: 200,
       body: renderReportAnswer(held.token, orders),
@@ -190,6 +212,11 @@
     });
   }
 
+  private holdFor(report: WorkerReport): Duration {
+    const type = this.catalog.types.find((t) => t.name === report.type);
+    return type && this.term ? this.term.holdFor(report.machine, type) : 0;
+  }
+
   /** Names the leader only while it seems to live, so that workers lose no time on it. */
   private redirect(request: Request): void {
     const leader = this.leadership.leader;
--- /dev/null
+++ b/packages/controller/src/desks.ts
@@ -0,0 +1,114 @@
+import type { MachineType } from '@tealdock/wire';
+import {
+  bookedShare,
+  choose,
+  fits,
+  minus,
+  need,
+  placeAllowed,
+  plus,
+  type Resources,
+  type Volunteer,
+  type ZoneCounts,
+} from '@tealdock/scheduler';
+import type { LiveJob } from './live-job.js';
+import type { Machine } from './machine.js';
+
+/** Room on one machine while a pass goes on. */
+export interface Desk {
+  machine: Machine;
+  type: MachineType;
+  free: Resources;
+  /** Free once all that is being stopped is gone, less what higher work waits for. */
+  coming: Resources;
+}
+
+export const deskOf = (machine: Machine, type: MachineType): Desk => {
+  const free = machine.free(type);
+  return { machine, type, free, coming: plus(free, machine.stopping) };
+};
+
+/** What a job's tasks ask of a machine; jobs that ask the same fit on the same machines. */
+export function demandOf(job: LiveJob): string {
+  const { cpus, gpus, memoryGb, types, zone, spot, oneZone, spread, kind } = job.spec;
+  const own = oneZone || spread || kind === 'gang' ? job.id : '';
+  return `${cpus} ${gpus} ${memoryGb} ${types?.join(',') ?? '*'} ${zone ?? '*'} ${spot} ${own}`;
+}
+
+export function allowedDesks(job: LiveJob, desks: Desk[], zones: ZoneCounts): Desk[] {
+  const gangZone = job.bound.size > 0 ? null : job.gangZone;
+  return desks.filter(
+    (d) =>
+      placeAllowed(job.spec, d.machine, zones) &&
+      (gangZone === null || d.machine.zone === gangZone),
+  );
+}
+
+interface Candidate extends Volunteer {
+  desk: Desk;
+}
+
+export interface VolunteerRules {
+  priceOf: (m: Machine, type: MachineType) => number;
+  /** Work gathers on busy machines, so that other machines fall idle. */
+  gathers: boolean;
+}
+
+/**
+ * The volunteers for the tasks of one job. They are gathered once; a booking
+ * changes one of them only, so the choice for the next task starts from there.
+ */
+export class Volunteers {
+  private readonly candidates: Candidate[];
+
+  constructor(
+    private readonly job: LiveJob,
+    desks: Desk[],
+    private readonly rules: VolunteerRules,
+  ) {
+    const wanted = need(job.spec);
+    this.candidates = desks.filter((d) => fits(wanted, d.free)).map((d) => this.candidate(d));
+    // The fullest first: among equals of the front, work gathers.
+    if (rules.gathers) this.candidates.sort((a, b) => b.load - a.load);
+  }
+
+  /** Holders of the image first, then the first point of the front. */
+  choose(): Desk | undefined {
+    return choose(this.candidates)?.desk;
+  }
+
+  /** A task was booked there. */
+  booked(desk: Desk): void {
+    const wanted = need(this.job.spec);
+    desk.free = minus(desk.free, wanted);
+    desk.coming = minus(desk.coming, wanted);
+    const at = this.candidates.findIndex((c) => c.desk === desk);
+    this.candidates.splice(at, 1);
+    if (!fits(wanted, desk.free)) return;
+    const changed = this.candidate(desk);
+    this.candidates.splice(this.placeFor(changed, at), 0, changed);
+  }
+
+  private placeFor(changed: Candidate, from: number): number {
+    let at = from;
+    if (this.rules.gathers) while (at > 0 && this.candidates[at - 1]!.load < changed.load) at--;
+    return at;
+  }
+
+  private candidate(desk: Desk): Candidate {
+    const { machine, type, free } = desk;
+    return {
+      desk,
+      load: bookedShare(type, free),
+      price: this.rules.priceOf(machine, type),
+      recent: machine.recent / Math.max(1, type.cpus),
+      imageRank: imageRank(this.job.spec.image, machine),
+    };
+  }
+}
+
+function imageRank(image: string, m: Machine): number {
+  if (m.images.has(image)) return 0;
+  if (m.fetching.has(image)) return 1;
+  return m.fetching.size === 0 ? 2 : 3;
+}
--- a/packages/controller/src/held-answers.ts
+++ b/packages/controller/src/held-answers.ts
@@ -1,51 +1,57 @@
-import { renderReportAnswer, type Instant } from '@tealdock/wire';
+import { renderReportAnswer, type Duration } from '@tealdock/wire';
 import type { Held } from './leadership.js';
 import type { Runtime } from './runtime.js';
 import type { Term } from './term.js';
 
-interface Open {
-  request: number;
-  until: Instant;
-}
-
 /**
  * An answer without orders is kept back for a short, bounded time, so that a
  * start booked meanwhile leaves at once instead of with the next report. It
  * stays the answer to the newest report, since a worker has one in flight.
  */
 export class HeldAnswers {
-  private readonly open = new Map<string, Open>();
+  private readonly open = new Map<string, number>();
 
   constructor(
     private readonly rt: Runtime,
     private readonly term: Term,
+    private readonly held: () => Held | null,
   ) {}
 
-  hold(machine: string, request: number): void {
-    this.open.set(machine, { request, until: this.rt.now + this.rt.operator.window.holdAnswer });
-    this.rt.after(this.rt.operator.window.holdAnswer, () => undefined);
+  hold(machine: string, request: number, duration: Duration): void {
+    this.open.set(machine, request);
+    this.rt.after(duration, () => {
+      if (this.open.get(machine) === request) this.answer(machine, request);
+    });
   }
 
   /** The worker gave the older report up: its answer is worth nothing any more. */
   drop(machine: string, held: Held): void {
-    const open = this.open.get(machine);
-    if (!open) return;
+    const request = this.open.get(machine);
+    if (request === undefined) return;
     this.open.delete(machine);
-    this.rt.reply(open.request, { status: 503, body: renderReportAnswer(held.token, []) });
+    this.rt.reply(request, { status: 503, body: renderReportAnswer(held.token, []) });
   }
 
-  /** Lets go what is due, or what has got orders. */
-  release(held: Held | null): void {
-    for (const [machine, open] of this.open) {
-      const due = this.rt.now >= open.until || !held || this.term.closed;
-      if (!due && !this.term.hasOrders(machine)) continue;
-      this.open.delete(machine);
-      if (!held || this.term.closed) {
-        this.rt.reply(open.request, { status: 503, body: {} });
-        continue;
+  /** Lets go what has got orders since; everything once the term is over. */
+  release(): void {
+    if (!this.held() || this.term.closed) {
+      for (const [machine, request] of this.open) this.answer(machine, request);
+      return;
+    }
+    for (const machine of this.term.stirred) {
+      const request = this.open.get(machine);
+      if (request !== undefined && this.term.hasOrders(machine)) this.answer(machine, request);
+      if (!this.open.has(machine) || !this.term.awaitsOrders(machine)) {
+        this.term.stirred.delete(machine);
       }
-      const body = renderReportAnswer(held.token, this.term.ordersOf(machine));
-      this.rt.reply(open.request, { status: 200, body, validUntil: held.validUntil });
     }
   }
+
+  private answer(machine: string, request: number): void {
+    this.open.delete(machine);
+    const held = this.held();
+    if (!held || this.term.closed) return this.rt.reply(request, { status: 503, body: {} });
+    const body = renderReportAnswer(held.token, this.term.ordersOf(machine));
+    this.rt.reply(request, { status: 200, body, validUntil: held.validUntil });
+  }
 }
--- a/packages/controller/src/keys.ts
+++ b/packages/controller/src/keys.ts
@@ -7,17 +7,21 @@
 export const OWNED_KEY = `${ROOT}owned`;
 export const typeKey = (type: string): string => `${CATALOG_PREFIX}${encodeURIComponent(type)}`;
 export const LIVE_PREFIX = `${ROOT}live/`;
-export const MACHINE_PREFIX = `${ROOT}machine/`;
+export const ROSTER_PREFIX = `${ROOT}roster/`;
+export const PROGRESS_PREFIX = `${ROOT}progress/`;
 
-export const liveFolder = (job: string): string => `${LIVE_PREFIX}${job}/`;
 export const specKey = (job: string): string => `${LIVE_PREFIX}${job}/spec`;
-export const chunkKey = (job: string, chunk: number): string =>
-  `${LIVE_PREFIX}${job}/done/${String(chunk).padStart(3, '0')}`;
 export const endedKey = (job: string): string => `${ROOT}ended/${job}`;
-export const machineKey = (machine: string): string => `${MACHINE_PREFIX}${machine}`;
 
-/** Tasks whose completion one key holds; its text stays far below 4 KiB. */
+/** Tasks whose completion one entry of the progress table holds, as bits in base64. */
 export const CHUNK_TASKS = 8192;
+export const progressEntry = (job: string, chunk: number): string => `${job}/${chunk}`;
+
+/** Job and chunk of an entry of the progress table. */
+export function splitProgressEntry(entry: string): { job: string; chunk: number } {
+  const cut = entry.lastIndexOf('/');
+  return { job: entry.slice(0, cut), chunk: Number(entry.slice(cut + 1)) };
+}
 
 export interface LeaderValue {
   member: string;
@@ -28,24 +32,12 @@
   /** Time of day of the submission, in ms. */
   submitted: number;
 }
-export interface ChunkValue {
-  done: number;
-  running: number;
-  /** One bit a task, base64. */
-  bits: string;
-}
 export interface EndedValue {
   state: Extract<JobState, 'done' | 'cancelled'>;
   spec: JobSpec;
 }
-export interface MachineValue {
-  type: string;
-  zone: string;
-  spot: boolean;
-  returning: boolean;
-  /** Time of day at which it is known to have been there, in ms. */
-  since: number;
-}
+/** A machine in the roster: type, zone, spot, returning, and since when it is known, in s. */
+export type RosterEntry = [type: string, zone: string, spot: 0 | 1, returning: 0 | 1, since: number];
 
 /** Job id and rest of a key below the live prefix. */
 export function splitLiveKey(key: string): { job: string; rest: string } | null {
@@ -53,3 +45,10 @@
   const cut = path.indexOf('/');
   return cut < 0 ? null : { job: path.slice(0, cut), rest: path.slice(cut + 1) };
 }
+
+/** An accepted job as stored; null for a value that is none. */
+export function readLive(stored: unknown): LiveValue | null {
+  const value = stored as LiveValue | null;
+  const whole = typeof value?.spec?.id === 'string' && typeof value.submitted === 'number';
+  return whole ? value : null;
+}
--- /dev/null
+++ b/packages/controller/src/ledger.ts
@@ -0,0 +1,67 @@
+import { NOTHING, minus, plus, type Resources } from '@tealdock/scheduler';
+import type { Binding } from './machine.js';
+
+interface TeamSums {
+  /** Everything bound to the team, the unproven too. */
+  bound: Resources;
+  /** The part of it that is being stopped. */
+  stopping: Resources;
+}
+
+const NO_SUMS: TeamSums = { bound: NOTHING, stopping: NOTHING };
+const NO_ZONES: ReadonlyMap<string, number> = new Map();
+
+/**
+ * Sums over all bindings, kept as bindings come and go: with thousands of them,
+ * adding them up for each decision would take longer than the decisions.
+ */
+export class Ledger {
+  private readonly teams = new Map<string, TeamSums>();
+  private readonly zones = new Map<string, Map<string, number>>();
+
+  add(b: Binding, zone: string): void {
+    this.count(b, plus);
+    const zones = this.zones.get(b.job) ?? new Map<string, number>();
+    zones.set(zone, (zones.get(zone) ?? 0) + 1);
+    this.zones.set(b.job, zones);
+  }
+
+  remove(b: Binding, zone: string): void {
+    this.count(b, minus);
+    const zones = this.zones.get(b.job);
+    if (!zones) return;
+    const left = (zones.get(zone) ?? 0) - 1;
+    if (left > 0) zones.set(zone, left);
+    else zones.delete(zone);
+    if (zones.size === 0) this.zones.delete(b.job);
+  }
+
+  /** To be called around any change of a binding's team, size or stop. */
+  change(b: Binding, apply: () => void): void {
+    this.count(b, minus);
+    apply();
+    this.count(b, plus);
+  }
+
+  teamUse(team: string): Resources {
+    return (this.teams.get(team) ?? NO_SUMS).bound;
+  }
+
+  /** What stays bound to a team once all that is being stopped is gone. */
+  teamStaying(team: string): Resources {
+    const sums = this.teams.get(team) ?? NO_SUMS;
+    return minus(sums.bound, sums.stopping);
+  }
+
+  zonesOf(job: string): ReadonlyMap<string, number> {
+    return this.zones.get(job) ?? NO_ZONES;
+  }
+
+  private count(b: Binding, operation: typeof plus): void {
+    const sums = this.teams.get(b.team) ?? NO_SUMS;
+    this.teams.set(b.team, {
+      bound: operation(sums.bound, b.size),
+      stopping: b.stop ? operation(sums.stopping, b.size) : sums.stopping,
+    });
+  }
+}
--- a/packages/controller/src/live-job.ts
+++ b/packages/controller/src/live-job.ts
@@ -1,5 +1,5 @@
 import type { Instant, JobSpec } from '@tealdock/wire';
-import { CHUNK_TASKS, type ChunkValue } from './keys.js';
+import { CHUNK_TASKS } from './keys.js';
 import type { Binding } from './machine.js';
 
 /** A task that has opened its window. */
@@ -17,15 +17,16 @@
   readonly bound = new Map<number, Binding>();
   /** Done, but not yet committed. */
   readonly uncommitted = new Set<number>();
-  readonly storedChunks = new Set<number>();
   doneCount = 0;
-  ending = false;
   /** Failures in a row on different machines; a mistaken job fails everywhere. */
   failures = 0;
   backoffUntil: Instant = 0;
   /** First instant of this term at which a task found no room. */
   starvedSince: Instant | null = null;
-  shownRunning = 0;
+  /** Tasks that run, as last counted for display. */
+  running = 0;
+  /** When room may be made for it next: plans for that are dear. */
+  roomPlanAt: Instant = 0;
   /** The zone that was found to fit all of a gang that may use only one. */
   gangZone: string | null = null;
   private readonly bits: Uint8Array;
@@ -68,37 +69,43 @@
     return true;
   }
 
-  loadChunk(chunk: number, value: ChunkValue): void {
-    const bytes = Buffer.from(value.bits, 'base64');
+  /** What the state service holds of one chunk is done, and is committed. */
+  noteStored(chunk: number, bits: string): void {
+    const bytes = Buffer.from(bits, 'base64');
     const base = chunk * CHUNK_TASKS;
     for (let i = 0; i < bytes.length * 8 && base + i < this.spec.taskCount; i++) {
-      if (bytes[i >> 3]! & (1 << (i & 7)) && this.markDone(base + i))
-        this.uncommitted.delete(base + i);
+      if ((bytes[i >> 3]! & (1 << (i & 7))) === 0) continue;
+      this.markDone(base + i);
+      this.uncommitted.delete(base + i);
     }
-    this.storedChunks.add(chunk);
   }
 
-  chunkValue(chunk: number): ChunkValue {
+  /** One bit a task of the chunk, base64. */
+  chunkBits(chunk: number): string {
     const from = (chunk * CHUNK_TASKS) / 8;
-    const bytes = this.bits.subarray(from, from + CHUNK_TASKS / 8);
-    let done = 0;
-    for (const byte of bytes) for (let b = byte; b > 0; b &= b - 1) done++;
-    const running = chunk === 0 ? this.running : 0;
-    return { done, running, bits: Buffer.from(bytes).toString('base64') };
+    return Buffer.from(this.bits.subarray(from, from + CHUNK_TASKS / 8)).toString('base64');
   }
 
-  get running(): number {
-    let count = 0;
-    for (const b of this.bound.values()) if (b.phase === 'seen' && b.state !== 'fetching') count++;
-    return count;
+  countRunning(): number {
+    this.running = 0;
+    for (const b of this.bound.values()) {
+      if (b.phase === 'seen' && b.state !== 'fetching') this.running++;
+    }
+    return this.running;
   }
 
   chunkOf(index: number): number {
     return Math.floor(index / CHUNK_TASKS);
   }
 
-  dirtyChunks(): number[] {
-    return [...new Set([...this.uncommitted].map((i) => this.chunkOf(i)))];
+  dirtyChunks(): Set<number> {
+    const chunks = new Set<number>();
+    for (const i of this.uncommitted) chunks.add(this.chunkOf(i));
+    return chunks;
+  }
+
+  chunks(): number[] {
+    return Array.from({ length: this.chunkOf(this.spec.taskCount - 1) + 1 }, (_, i) => i);
   }
 
   /** Opens windows for released tasks: independent tasks are released at once. */
--- /dev/null
+++ b/packages/controller/src/live-proofs.ts
@@ -0,0 +1,95 @@
+import type { Guard } from '@tealdock/wire';
+import { specKey } from './keys.js';
+import type { Runtime } from './runtime.js';
+import type { StateStore } from './state-store.js';
+
+/** Polls that arrive within this time share a proof. */
+const GATHER = 40;
+const MOST_KNOWN = 5000;
+/** A transaction may have this many times as many conditions as changes. */
+const GUARDS_A_WRITE = 4;
+/** Users give a poll up after 2 s. */
+const TIMEOUT = 1200;
+
+/** `live`: its key still had the version known. `changed`: it had not. */
+export type Proof = 'live' | 'changed' | 'unsure';
+
+type Asked = [job: string, asked: ((proof: Proof) => void)[]];
+
+/**
+ * Proves for many polls at once that their jobs are live: one transaction without
+ * changes compares the versions of their keys. It is sent after the polls have
+ * arrived, so its answer is never older than what any user was told before.
+ */
+export class LiveProofs {
+  /** Versions of live jobs' keys, as this node last read or wrote them. */
+  private readonly known = new Map<string, number>();
+  private waiting = new Map<string, ((proof: Proof) => void)[]>();
+  private planned = false;
+
+  constructor(
+    private readonly rt: Runtime,
+    private readonly state: StateStore,
+  ) {}
+
+  note(job: string, version: number): void {
+    this.known.delete(job);
+    this.known.set(job, version);
+    const oldest = this.known.keys().next().value;
+    if (this.known.size > MOST_KNOWN && oldest !== undefined) this.known.delete(oldest);
+  }
+
+  forget(job: string): void {
+    this.known.delete(job);
+  }
+
+  /** False where no version is known, so that the key has to be read. */
+  ask(job: string, done: (proof: Proof) => void): boolean {
+    if (!this.known.has(job)) return false;
+    const asked = this.waiting.get(job);
+    if (asked) asked.push(done);
+    else this.waiting.set(job, [done]);
+    this.plan();
+    return true;
+  }
+
+  private plan(): void {
+    if (this.planned) return;
+    this.planned = true;
+    this.rt.after(GATHER, () => {
+      this.planned = false;
+      this.prove();
+    });
+  }
+
+  private prove(): void {
+    const all = [...this.waiting];
+    this.waiting = new Map();
+    const most = this.rt.settings.state.txnOps * GUARDS_A_WRITE;
+    for (let at = 0; at < all.length; at += most) this.compare(all.slice(at, at + most));
+  }
+
+  private compare(batch: Asked[]): void {
+    const guards: Guard[] = batch.map(([job]) => ({
+      key: specKey(job),
+      version: this.known.get(job) ?? 0,
+    }));
+    this.state.compare(guards, TIMEOUT, (compared) => {
+      if (compared.kind === 'equal') return this.settle(batch, 'live');
+      if (compared.kind === 'unsure') return this.settle(batch, 'unsure');
+      const changed = new Set(compared.failed);
+      const [gone, rest] = [true, false].map((is) =>
+        batch.filter(([job]) => changed.has(specKey(job)) === is),
+      );
+      for (const [job] of gone!) this.forget(job);
+      this.settle(gone!, 'changed');
+      // Nothing says that the list of what failed is whole: the others are asked again.
+      if (rest!.length > 0 && gone!.length > 0) this.compare(rest!);
+      else this.settle(rest!, 'unsure');
+    });
+  }
+
+  private settle(batch: Asked[], proof: Proof): void {
+    for (const [, asked] of batch) for (const done of asked) done(proof);
+  }
+}
--- a/packages/controller/src/machine.ts
+++ b/packages/controller/src/machine.ts
@@ -25,7 +25,10 @@
   sentSeq: number;
   state: TaskState | null;
   runningSince: Instant | null;
+  /** Changed through the term only, since sums depend on it. */
   stop: StopWish | null;
+  /** Null where the job is not known any more. */
+  readonly image: string | null;
   /** Not one that this term wants to run: it is only counted until it is gone. */
   foreign: boolean;
 }
@@ -35,6 +38,15 @@
 const RECENT_WINDOW = 300_000;
 const MOST_IMAGES = 50;
 
+/** What the bindings of a machine come to; made anew after a change. */
+interface Summary {
+  used: Resources;
+  /** The part of it that is being stopped. */
+  stopping: Resources;
+  /** Images that tasks on the machine, or on their way there, still wait for. */
+  fetching: Set<string>;
+}
+
 /** One machine as the leader knows it in this term. */
 export class Machine implements Place {
   readonly bindings = new Map<string, Binding>();
@@ -55,11 +67,14 @@
   noticeUntil: Instant | null = null;
   idleSince: Instant | null = null;
   failures = 0;
+  /** Starts in a row that never showed up: answers seem not to reach it. */
+  lostStarts = 0;
   asideUntil: Instant = 0;
   recent = 0;
   /** First known to be there, on this process's steady clock. */
   since: Instant = Infinity;
   readonly images = new Set<string>();
+  private summary: Summary | null = null;
 
   constructor(
     readonly id: string,
@@ -74,25 +89,54 @@
     return report.seq > this.seq;
   }
 
-  used(): Resources {
-    let sum = NOTHING;
-    for (const b of this.bindings.values()) sum = plus(sum, b.size);
-    return sum;
+  /** To be called after any change of its bindings. */
+  touch(): void {
+    this.summary = null;
+  }
+
+  get used(): Resources {
+    return this.sums.used;
+  }
+
+  get stopping(): Resources {
+    return this.sums.stopping;
+  }
+
+  get fetching(): ReadonlySet<string> {
+    return this.sums.fetching;
   }
 
   free(type: MachineType): Resources {
-    return minus({ cpus: type.cpus, gpus: type.gpus, memoryGb: type.memoryGb }, this.used());
+    return minus(type, this.used);
+  }
+
+  private get sums(): Summary {
+    this.summary ??= this.sumUp();
+    return this.summary;
+  }
+
+  private sumUp(): Summary {
+    let [used, stopping] = [NOTHING, NOTHING];
+    const fetching = new Set<string>();
+    for (const b of this.bindings.values()) {
+      used = plus(used, b.size);
+      if (b.stop) stopping = plus(stopping, b.size);
+      const waits = b.phase !== 'seen' || b.state === 'fetching';
+      if (waits && b.image !== null && !this.images.has(b.image)) fetching.add(b.image);
+    }
+    return { used, stopping, fetching };
   }
 
   noteImage(image: string): void {
     this.images.delete(image);
     this.images.add(image);
+    this.touch();
     const oldest = this.images.values().next().value;
     if (this.images.size > MOST_IMAGES && oldest !== undefined) this.images.delete(oldest);
   }
 
   /** Recent accumulated computing time, fading over some minutes. */
   accumulate(elapsed: number): void {
-    this.recent = this.recent * Math.exp(-elapsed / RECENT_WINDOW) + this.used().cpus * elapsed;
+    this.recent = this.recent * Math.exp(-elapsed / RECENT_WINDOW) + this.used.cpus * elapsed;
   }
 }
--- /dev/null
+++ b/packages/controller/src/packed-table.ts
@@ -0,0 +1,221 @@
+import type { Guard, StateItem, Write } from '@tealdock/wire';
+import type { CallPriority } from './ports.js';
+import type { Leadership } from './leadership.js';
+import type { Runtime } from './runtime.js';
+import type { Committed, StateStore } from './state-store.js';
+
+/** Part of a value's limit that a shard is filled to: entries may still grow. */
+const FILL = 0.7;
+/** Quotes, colon and comma around an entry of a map. */
+const ENTRY_OVERHEAD = 6;
+/** Retry after a commit that failed. */
+const RETRY = 300;
+
+interface Shard<V> {
+  key: string;
+  /** Version of the key as last known; null while an unanswered commit leaves it open. */
+  version: number | null;
+  entries: Map<string, V>;
+  bytes: number;
+  dirty: boolean;
+}
+
+interface ShardValue<V> {
+  entries: Record<string, V>;
+}
+
+/**
+ * A table of small entries packed into few keys, since the state service counts
+ * changes of keys: a thousand machines are a dozen changes instead of a thousand.
+ *
+ * Only the leader writes it. Each write is guarded by leadership and by the
+ * version of its own key, so that a commit which is carried out late can't undo
+ * a newer one; after a commit without an answer the version is read again.
+ */
+export class PackedTable<V> {
+  private readonly shards: Shard<V>[] = [];
+  private readonly home = new Map<string, Shard<V>>();
+  private busy = false;
+  private planned = false;
+  private closed = false;
+
+  constructor(
+    private readonly rt: Runtime,
+    private readonly state: StateStore,
+    private readonly leadership: Leadership,
+    private readonly prefix: string,
+    private readonly options: {
+      /** Changes are gathered for this long before they are written. */
+      gather: number;
+      priority: CallPriority;
+      /** Told which entries a commit has stored, as they were then. */
+      stored: (entries: [string, V][]) => void;
+    },
+  ) {}
+
+  close(): void {
+    this.closed = true;
+  }
+
+  /** Takes over what an earlier term has stored. */
+  load(items: StateItem[]): [string, V][] {
+    const found: [string, V][] = [];
+    for (const item of items) {
+      const entries = (item.value as ShardValue<V> | null)?.entries;
+      if (typeof entries !== 'object' || entries === null) {
+        this.rt.env.log('error', { key: item.key }, 'stored value can not be read');
+        continue;
+      }
+      const shard = this.addShard(item.key, item.version);
+      for (const [id, value] of Object.entries(entries)) {
+        this.place(shard, id, value);
+        found.push([id, value]);
+      }
+    }
+    return found;
+  }
+
+  get(id: string): V | undefined {
+    return this.home.get(id)?.entries.get(id);
+  }
+
+  set(id: string, value: V): void {
+    const size = sizeOf(id, value);
+    const old = this.home.get(id);
+    if (old && old.bytes - this.entrySize(old, id) + size <= this.most) {
+      this.drop(old, id);
+      this.place(old, id, value);
+      old.dirty = true;
+    } else {
+      if (old) this.remove(id);
+      const shard = this.shards.find((s) => s.bytes + size <= this.most) ?? this.newShard();
+      this.place(shard, id, value);
+      shard.dirty = true;
+    }
+    this.plan();
+  }
+
+  /** Removals alone cost no write: whoever reads the table can tell what is over. */
+  delete(id: string): void {
+    const shard = this.home.get(id);
+    if (shard) this.drop(shard, id);
+  }
+
+  /** Writes removals as well, for a table whose entries are taken at their word. */
+  remove(id: string): void {
+    const shard = this.home.get(id);
+    if (!shard) return;
+    this.delete(id);
+    shard.dirty = true;
+    this.plan();
+  }
+
+  // --- shards ----------------------------------------------------------------
+
+  private get most(): number {
+    return this.rt.settings.state.valueBytes * FILL;
+  }
+
+  private newShard(): Shard<V> {
+    const used = new Set(this.shards.map((s) => s.key));
+    let number = 0;
+    while (used.has(this.keyOf(number))) number++;
+    return this.addShard(this.keyOf(number), 0);
+  }
+
+  private keyOf(number: number): string {
+    return `${this.prefix}${String(number).padStart(3, '0')}`;
+  }
+
+  private addShard(key: string, version: number): Shard<V> {
+    const shard = { key, version, entries: new Map(), bytes: 0, dirty: false };
+    this.shards.push(shard);
+    return shard;
+  }
+
+  private entrySize(shard: Shard<V>, id: string): number {
+    const value = shard.entries.get(id);
+    return value === undefined ? 0 : sizeOf(id, value);
+  }
+
+  private place(shard: Shard<V>, id: string, value: V): void {
+    shard.entries.set(id, value);
+    shard.bytes += sizeOf(id, value);
+    this.home.set(id, shard);
+  }
+
+  private drop(shard: Shard<V>, id: string): void {
+    shard.bytes -= this.entrySize(shard, id);
+    shard.entries.delete(id);
+    this.home.delete(id);
+  }
+
+  // --- writing ---------------------------------------------------------------
+
+  private plan(delay = this.options.gather): void {
+    if (this.planned) return;
+    this.planned = true;
+    this.rt.after(delay, () => {
+      this.planned = false;
+      this.flush();
+    });
+  }
+
+  private flush(): void {
+    if (this.closed || this.busy) return;
+    const lost = this.shards.find((s) => s.dirty && s.version === null);
+    if (lost) return this.reread(lost);
+    const batch = this.shards.filter((s) => s.dirty).slice(0, this.rt.settings.state.txnOps);
+    if (batch.length > 0 && this.leadership.held()) this.write(batch);
+    else if (batch.length > 0) this.plan(RETRY);
+  }
+
+  private write(batch: Shard<V>[]): void {
+    this.busy = true;
+    const stored = batch.flatMap((s) => [...s.entries]);
+    for (const s of batch) s.dirty = false;
+    const guards: Guard[] = batch.map((s) => ({ key: s.key, version: s.version ?? 0 }));
+    const writes: Write[] = batch.map((s) => ({
+      put: s.key,
+      value: { entries: Object.fromEntries(s.entries) },
+    }));
+    this.state.commit(
+      [this.leadership.guard(), ...guards],
+      writes,
+      this.options.priority,
+      (committed) => {
+        this.busy = false;
+        this.written(batch, committed, stored);
+      },
+    );
+  }
+
+  private written(batch: Shard<V>[], committed: Committed, stored: [string, V][]): void {
+    if (this.closed) return;
+    if (committed.kind === 'ok') {
+      for (const s of batch) s.version = committed.revision;
+      this.options.stored(stored);
+      if (this.shards.some((s) => s.dirty)) this.plan();
+      return;
+    }
+    for (const s of batch) {
+      s.dirty = true;
+      if (committed.kind !== 'refused') s.version = null;
+    }
+    this.plan(RETRY);
+  }
+
+  private reread(shard: Shard<V>): void {
+    this.busy = true;
+    this.state.get(shard.key, this.options.priority, (got) => {
+      this.busy = false;
+      if (got.kind === 'found') shard.version = got.item.version;
+      else if (got.kind === 'missing') shard.version = 0;
+      this.plan(got.kind === 'failed' ? RETRY : 0);
+    });
+  }
+}
+
+function sizeOf(id: string, value: unknown): number {
+  return id.length + JSON.stringify(value).length + ENTRY_OVERHEAD;
+}
--- a/packages/controller/src/peers.ts
+++ b/packages/controller/src/peers.ts
@@ -1,4 +1,4 @@
-import type { Instant } from '@tealdock/wire';
+import type { Instant, JobCount } from '@tealdock/wire';
 import { PRIORITY, type CallResult, type Command } from './ports.js';
 import type { Runtime } from './runtime.js';
 
@@ -6,12 +6,16 @@
 const FRESH = 3200;
 const ASK_TIMEOUT = 2000;
 
+export type JobCounts = Pick<JobCount, 'done' | 'running'>;
+
 type Beat = Extract<Command, { kind: 'beat' }>;
 
 /** What the other controllers have said of themselves lately. Never a proof of anything. */
 export class Peers {
   private readonly beats = new Map<string, { beat: Beat; heard: Instant }>();
 
+  private counts = new Map<string, JobCounts>();
+
   constructor(private readonly rt: Runtime) {}
 
   start(tell: () => void): void {
@@ -25,6 +29,15 @@
     this.beats.set(beat.member, { beat, heard: this.rt.now });
   }
 
+  /** Counts for display, as the leader told them last. */
+  hearCounts(jobs: JobCount[]): void {
+    this.counts = new Map(jobs.map((j) => [j.id, j]));
+  }
+
+  countsOf(job: string): JobCounts | undefined {
+    return this.counts.get(job);
+  }
+
   alive(member: string): boolean {
     const known = this.beats.get(member);
     return known !== undefined && this.rt.now - known.heard <= FRESH;
--- a/packages/controller/src/placer.ts
+++ b/packages/controller/src/placer.ts
@@ -1,48 +1,46 @@
-import type { Instant, MachineType } from '@tealdock/wire';
+import type { MachineType } from '@tealdock/wire';
 import {
   NOTHING,
-  bookedShare,
-  cheapestPlan,
-  choose,
   compareJobs,
   fits,
   minus,
   need,
-  placeAllowed,
   plus,
   rank,
   slots,
   withinLimit,
-  type Offer,
   type Ranked,
   type Resources,
-  type Victim,
-  type Volunteer,
 } from '@tealdock/scheduler';
+import { Volunteers, allowedDesks, demandOf, deskOf, type Desk } from './desks.js';
 import type { LiveJob, OpenTask } from './live-job.js';
 import type { Binding, Machine } from './machine.js';
+import { RoomMaker } from './room-maker.js';
 import type { Runtime } from './runtime.js';
 import { guaranteedJobs, nextDue } from './slack.js';
 import { typeOf, type Term } from './term.js';
 
 const PASS_EVERY = 100;
-/** Room freed by a stop that takes longer than this is not waited for. */
-const STOP_PATIENCE = 15_000;
 /** What stopping a task and starting another in its place takes. */
 const STOP_TIME = 4000;
-/** A start that is stopped sooner than this was in vain for whoever waited for it. */
-const FRESH_START = 30_000;
 /** How long before an aim, or after how long without room, a guarantee is reclaimed. */
 const RECLAIM_AHEAD = 30_000;
 const RECLAIM_PATIENCE = 60_000;
-
-/** Room on each machine while one pass goes on. */
-interface Desk {
-  machine: Machine;
-  type: MachineType;
-  free: Resources;
-  /** Free once all that is being stopped is gone, less what higher work waits for. */
-  coming: Resources;
+/** A job of which nothing has begun for this long goes before all others. */
+const STARVING = 120_000;
+/** A pass that books more goes on in the next one: reports are answered in between. */
+const MOST_BOOKINGS = 300;
+/** Plans to make room look at every task of every machine. */
+const MOST_ROOM_PLANS = 6;
+const ROOM_PLAN_EVERY = 500;
+
+/** What one pass has found out so far. */
+interface Pass {
+  desks: Desk[];
+  /** Demands that no machine has room for. */
+  full: Set<string>;
+  bookings: number;
+  roomPlans: number;
 }
 
 /**
@@ -53,6 +51,8 @@
 export class Placer {
   /** Coming room that this pass keeps for a team's tasks. */
   private readonly promised = new Map<string, Resources>();
+  /** Machines not accounted for may be full of any team's tasks. */
+  private unaccounted: Resources = NOTHING;
 
   constructor(
     private readonly rt: Runtime,
@@ -78,26 +78,35 @@
     this.promised.clear();
     const jobs = this.waitingJobs();
     if (jobs.length === 0) return;
-    const desks = this.desks();
-    for (const job of jobs) this.placeJob(job, desks);
+    this.unaccounted = this.sumUnaccounted();
+    const pass: Pass = { desks: this.desks(), full: new Set(), bookings: 0, roomPlans: 0 };
+    for (const job of jobs) {
+      if (pass.bookings >= MOST_BOOKINGS) return;
+      this.placeJob(job, pass);
+    }
   }
 
   private waitingJobs(): LiveJob[] {
+    const ready = this.term.ready;
+    const waiting = [...this.term.jobs.values()].filter(
+      (job) =>
+        job.open.size > 0 && job.backoffUntil <= this.rt.now && this.term.mayPlace(job, ready),
+    );
+    if (waiting.length === 0) return waiting;
     const inside = guaranteedJobs(this.term.jobs.values(), this.rt.settings);
-    const ranked = [...this.term.jobs.values()]
-      .filter((job) => job.open.size > 0 && job.backoffUntil <= this.rt.now)
-      .filter((job) => this.term.mayPlace(job))
-      .map((job) => ({ job, key: this.rankOf(job, inside) }));
+    const ranked = waiting.map((job) => ({ job, key: this.rankOf(job, inside) }));
     return ranked.sort((a, b) => compareJobs(a.key, b.key)).map((r) => r.job);
   }
 
   private rankOf(job: LiveJob, inside: Set<string>): Ranked {
     const ratio = this.term.ratios.get(job.spec.jobClass) ?? 1;
+    const begun = job.doneCount > 0 || job.bound.size > 0;
     return {
       spec: job.spec,
       submitted: job.submitted,
       due: nextDue(job, ratio, inside.has(job.id), this.rt.settings, this.rt.now),
       guaranteed: this.belowGuarantee(job),
+      starving: !begun && this.rt.now - job.submitted > STARVING,
     };
   }
 
@@ -105,57 +114,70 @@
     const team = this.rt.settings.teams.find((t) => t.name === job.spec.team);
     if (!team) return false;
     const promised = this.promised.get(team.name) ?? NOTHING;
-    const after = plus(plus(this.term.teamUse(team.name), promised), need(job.spec));
+    const after = plus(plus(this.term.ledger.teamUse(team.name), promised), need(job.spec));
     return after.cpus <= team.cpus && after.gpus <= team.gpus;
   }
 
   /** Machines whose reports are recent enough to count as volunteers. */
   private desks(): Desk[] {
     const recent = Math.max(this.rt.operator.window.lambda, this.rt.settings.reportEvery * 1.5);
+    const types = this.types();
     const desks: Desk[] = [];
     for (const m of this.term.machines.values()) {
-      const type = typeOf(this.types(), m);
       const heard = m.lastCounted !== null && this.rt.now - m.lastCounted <= recent;
-      if (!type || !heard || !m.inRoster || m.returning) continue;
+      if (!heard || !m.inRoster || m.returning) continue;
       if (m.noticeUntil !== null || m.asideUntil > this.rt.now) continue;
-      const free = m.free(type);
-      desks.push({ machine: m, type, free, coming: plus(free, this.stopping(m)) });
+      const type = typeOf(types, m);
+      if (type) desks.push(deskOf(m, type));
     }
     return desks;
   }
 
-  private stopping(m: Machine): Resources {
-    let sum: Resources = { cpus: 0, gpus: 0, memoryGb: 0 };
-    for (const b of m.bindings.values()) {
-      if (b.stop && this.rt.now - m.lastCounted! < STOP_PATIENCE) sum = plus(sum, b.size);
+  private placeJob(job: LiveJob, pass: Pass): void {
+    const waiting = [...job.open.values()].filter((task) => this.windowCloses(task));
+    const demand = demandOf(job);
+    if (pass.full.has(demand)) return this.noFit(job, waiting, pass, null);
+    const zones = this.term.ledger.zonesOf(job.id);
+    let allowed = allowedDesks(job, pass.desks, zones);
+    if (job.spec.kind === 'gang') {
+      if (!this.gangFits(job, allowed)) return;
+      allowed = allowedDesks(job, pass.desks, zones);
     }
-    return sum;
+    this.placeTasks(job, waiting, allowed, pass, demand);
   }
 
-  private placeJob(job: LiveJob, desks: Desk[]): void {
-    if (job.spec.kind === 'gang' && !this.gangFits(job, desks)) return;
-    for (const task of [...job.open.values()]) {
-      if (!this.windowCloses(task)) continue;
-      if (!this.withinTeamLimit(job)) return;
-      const allowed = this.allowedDesks(job, desks);
-      const chosen = this.volunteerFor(job, allowed);
+  private placeTasks(
+    job: LiveJob,
+    waiting: OpenTask[],
+    allowed: Desk[],
+    pass: Pass,
+    demand: string,
+  ): void {
+    const rules = { priceOf: this.priceOf, gathers: this.gathers() };
+    let desks = allowed;
+    let volunteers = new Volunteers(job, desks, rules);
+    for (const [at, task] of waiting.entries()) {
+      if (pass.bookings >= MOST_BOOKINGS || !this.withinTeamLimit(job)) return;
+      const chosen = volunteers.choose();
       if (!chosen) {
-        this.noFit(job, task, allowed);
-        if (!this.reserve(job, allowed)) return;
-        continue;
+        pass.full.add(demand);
+        return this.noFit(job, waiting.slice(at), pass, desks);
       }
-      if (this.waitsForHolder(job, chosen, allowed)) continue;
+      if (this.waitsForHolder(job, chosen, desks, pass)) continue;
       this.term.book(job, task.index, chosen.machine);
+      pass.bookings++;
       job.starvedSince = null;
-      chosen.free = minus(chosen.free, need(job.spec));
-      chosen.coming = minus(chosen.coming, need(job.spec));
+      volunteers.booked(chosen);
+      if (!job.spec.oneZone && !job.spec.spread) continue;
+      // Where the next task may go depends on where this one went.
+      desks = allowedDesks(job, pass.desks, this.term.ledger.zonesOf(job.id));
+      volunteers = new Volunteers(job, desks, rules);
     }
   }
 
   /** A gang is booked only when one window fits all its tasks; nothing is held for part of it. */
-  private gangFits(job: LiveJob, desks: Desk[]): boolean {
+  private gangFits(job: LiveJob, allowed: Desk[]): boolean {
     job.gangZone = null;
-    const allowed = this.allowedDesks(job, desks);
     const zones = job.spec.oneZone ? [...new Set(allowed.map((d) => d.machine.zone))] : [null];
     const team = this.rt.settings.teams.find((t) => t.name === job.spec.team);
     const rest = { cpus: job.spec.cpus * job.open.size, gpus: job.spec.gpus * job.open.size };
@@ -177,13 +199,51 @@
     return open >= Math.min(this.rt.operator.window.closeEarly, this.rt.operator.window.lambda);
   }
 
-  /** Without a fit the timer starts again. */
-  private noFit(job: LiveJob, task: OpenTask, desks: Desk[]): void {
+  /** Without a fit the timers start again, and room may be made. */
+  private noFit(job: LiveJob, waiting: OpenTask[], pass: Pass, allowed: Desk[] | null): void {
+    if (waiting.length === 0) return;
     job.starvedSince ??= this.rt.now;
-    if (this.rt.now - task.opened >= this.rt.operator.window.lambda) task.opened = this.rt.now;
-    const waited = this.rt.now - job.starvedSince;
-    if (this.rentable() && waited < this.patience(job)) return;
-    this.makeRoom(job, desks);
+    for (const task of waiting) {
+      if (this.rt.now - task.opened >= this.rt.operator.window.lambda) task.opened = this.rt.now;
+    }
+    const zones = this.term.ledger.zonesOf(job.id);
+    const desks = allowed ?? allowedDesks(job, pass.desks, zones);
+    this.reserveRoom(job, waiting.length, desks, pass);
+  }
+
+  /** Keeps coming room for the tasks, and has more made where that is allowed. */
+  private reserveRoom(job: LiveJob, tasks: number, desks: Desk[], pass: Pass): void {
+    let maker: RoomMaker | null = null;
+    const wanted = need(job.spec);
+    let at = 0;
+    for (let left = tasks; left > 0; left--) {
+      while (at < desks.length && !fits(wanted, desks[at]!.coming)) at++;
+      if (at < desks.length) {
+        this.promise(job, desks[at]!);
+        continue;
+      }
+      if (!this.mayMakeRoom(job, maker, pass)) return;
+      maker ??= this.roomMaker(job, desks, pass);
+      const made = maker.make();
+      if (!made) return;
+      this.promise(job, made);
+      maker.planAgain(made);
+    }
+  }
+
+  private mayMakeRoom(job: LiveJob, maker: RoomMaker | null, pass: Pass): boolean {
+    if (maker) return true;
+    if (pass.roomPlans >= MOST_ROOM_PLANS || job.roomPlanAt > this.rt.now) return false;
+    const waited = this.rt.now - (job.starvedSince ?? this.rt.now);
+    return !this.rentable() || waited >= this.patience(job);
+  }
+
+  private roomMaker(job: LiveJob, desks: Desk[], pass: Pass): RoomMaker {
+    pass.roomPlans++;
+    job.roomPlanAt = this.rt.now + ROOM_PLAN_EVERY;
+    const reclaims = this.reclaims(job);
+    const guaranteed = () => reclaims && this.belowGuarantee(job);
+    return new RoomMaker(this.rt, this.term, job, guaranteed, desks);
   }
 
   /** Rented room is preferred to another task's while it can come in time. */
@@ -198,9 +258,12 @@
     return !!team && withinLimit(team, this.limitUse(team.name), need(job.spec));
   }
 
-  /** What counts against a limit: machines not accounted for may be full of the team's tasks. */
   private limitUse(team: string): Resources {
-    let sum = this.term.teamUse(team);
+    return plus(this.term.ledger.teamUse(team), this.unaccounted);
+  }
+
+  private sumUnaccounted(): Resources {
+    let sum = NOTHING;
     for (const m of this.term.unresolved()) {
       const type = typeOf(this.types(), m);
       sum = plus(sum, type ?? { cpus: Infinity, gpus: Infinity, memoryGb: 0 });
@@ -208,84 +271,40 @@
     return sum;
   }
 
-  private allowedDesks(job: LiveJob, desks: Desk[]): Desk[] {
-    const zones = this.term.zonesOf(job);
-    const wanted = job.bound.size > 0 ? null : job.gangZone;
-    return desks.filter(
-      (d) =>
-        placeAllowed(job.spec, d.machine, zones) && (wanted === null || d.machine.zone === wanted),
-    );
-  }
-
-  private volunteerFor(job: LiveJob, desks: Desk[]): Desk | undefined {
-    const able = desks.filter((d) => fits(need(job.spec), d.free));
-    const volunteers = able.map((d): Volunteer & { desk: Desk } => ({
-      desk: d,
-      machine: d.machine.id,
-      load: bookedShare(d.type, d.free),
-      price: this.priceOf(d.machine, d.type),
-      recent: d.machine.recent / Math.max(1, d.type.cpus),
-      imageRank: this.imageRank(job.spec.image, d.machine),
-    }));
-    // The fullest first: among equals of the front, work gathers and other machines fall idle.
-    if (this.gathers()) volunteers.sort((a, b) => b.load - a.load);
-    const chosen = choose(volunteers);
-    return able.find((d) => d.machine.id === chosen?.machine);
-  }
-
-  private imageRank(image: string, m: Machine): number {
-    if (m.images.has(image)) return 0;
-    const fetched = this.term.fetching(m);
-    if (fetched.has(image)) return 1;
-    return fetched.size === 0 ? 2 : 3;
-  }
-
   /**
    * A fetch would break the class's aim for starts, while a holder of the image
    * has or can be given room in time: then the task waits for the holder.
    */
-  private waitsForHolder(job: LiveJob, chosen: Desk, desks: Desk[]): boolean {
+  private waitsForHolder(job: LiveJob, chosen: Desk, desks: Desk[], pass: Pass): boolean {
     if (chosen.machine.images.has(job.spec.image)) return false;
     const fetch = (job.spec.imageGb / Math.max(0.01, chosen.type.fetchGbPerS)) * 1000;
     const left = this.aimFor(job) - (this.rt.now - job.submitted);
     if (fetch < left || left < STOP_TIME) return false;
+    const wanted = need(job.spec);
     const holders = desks.filter((d) => d.machine.images.has(job.spec.image));
-    this.makeRoom(job, holders);
-    return this.reserve(job, holders);
+    if (!holders.some((d) => fits(wanted, d.coming)) && this.mayMakeRoom(job, null, pass)) {
+      this.roomMaker(job, holders, pass).make();
+    }
+    const holder = holders.find((d) => fits(wanted, d.coming));
+    if (holder) this.promise(job, holder);
+    return holder !== undefined;
   }
 
   /** Within what time tasks of the class should start. */
   private aimFor(job: LiveJob): number {
-    const aims = this.rt.settings.objectives.filter(
-      (o) => o.kind === 'wait' && o.jobClass === job.spec.jobClass && o.within !== null,
-    );
-    return Math.min(Infinity, ...aims.map((o) => o.within!));
+    let least = Infinity;
+    for (const o of this.rt.settings.objectives) {
+      const own = o.kind === 'wait' && o.jobClass === job.spec.jobClass;
+      if (own && o.within !== null) least = Math.min(least, o.within);
+    }
+    return least;
   }
 
-  /** Keeps room that is coming for this task; false when no machine will have any. */
-  private reserve(job: LiveJob, desks: Desk[]): boolean {
-    const desk = desks.find((d) => fits(need(job.spec), d.coming));
-    if (!desk) return false;
+  /** Keeps room that is coming for one task. */
+  private promise(job: LiveJob, desk: Desk): void {
     desk.coming = minus(desk.coming, need(job.spec));
     const promised = this.promised.get(job.spec.team) ?? NOTHING;
     this.promised.set(job.spec.team, plus(promised, need(job.spec)));
-    return true;
-  }
-
-  // --- making room -----------------------------------------------------------
-
-  private makeRoom(job: LiveJob, desks: Desk[]): void {
-    if (desks.some((d) => fits(need(job.spec), d.coming))) return;
-    const guaranteed = this.belowGuarantee(job) && this.reclaims(job);
-    const offers = desks.map((d): Offer => ({
-      machine: d.machine.id,
-      free: d.coming,
-      victims: this.victims(d.machine, job, guaranteed),
-    }));
-    const plan = cheapestPlan(offers, need(job.spec));
-    if (!plan) return;
-    const desk = desks.find((d) => d.machine.id === plan.machine)!;
-    for (const victim of plan.victims) this.stopVictim(desk, victim, job);
   }
 
   /**
@@ -299,48 +318,6 @@
     return due - this.rt.now < RECLAIM_AHEAD || starved > RECLAIM_PATIENCE;
   }
 
-  private stopVictim(desk: Desk, victim: Victim, job: LiveJob): void {
-    const b = [...desk.machine.bindings.values()].find((x) => x.task === victim.task && !x.stop);
-    if (!b) return;
-    const reason = `room for ${job.id}`;
-    b.stop = { grace: this.term.jobs.get(b.job)?.spec.save ?? 0, reason };
-    desk.coming = plus(desk.coming, victim.size);
-    this.rt.env.log('debug', { task: b.task, machine: b.machine, reason }, 'preempting');
-  }
-
-  private victims(m: Machine, job: LiveJob, guaranteed: boolean): Victim[] {
-    const victims: Victim[] = [];
-    for (const b of m.bindings.values()) {
-      const other = this.term.jobs.get(b.job);
-      if (!other || b.stop || b.phase !== 'seen') continue;
-      if (this.mayStop(other, job, guaranteed))
-        victims.push({ task: b.task, size: b.size, lost: lost(b, other, this.rt.now) });
-    }
-    return victims;
-  }
-
-  /**
-   * Within a team priority decides. Work inside another team's guarantee gives
-   * way only to higher work that is inside its own: were it stopped for borrowed
-   * work, its team would reclaim the room at once, and so on without end.
-   */
-  private mayStop(other: LiveJob, job: LiveJob, guaranteed: boolean): boolean {
-    const lower = rank(other.spec) < rank(job.spec);
-    if (other.spec.team === job.spec.team) return lower;
-    return this.borrows(other, job) ? lower || guaranteed : lower && guaranteed;
-  }
-
-  /**
-   * The other team uses so much beyond its guarantee that it stays at it without
-   * what the task needs. Were less enough, it would reclaim the rest at once.
-   */
-  private borrows(other: LiveJob, job: LiveJob): boolean {
-    const team = this.rt.settings.teams.find((t) => t.name === other.spec.team);
-    if (!team) return false;
-    const left = minus(this.term.teamUse(team.name, true), need(job.spec));
-    return left.cpus >= team.cpus && left.gpus >= team.gpus;
-  }
-
   // --- machines that are about to be taken -----------------------------------
 
   private rescue(): void {
@@ -359,13 +336,6 @@
     const left = job.spec.estimate * ratio - ran;
     const notice = m.noticeUntil! - this.rt.now;
     if (b.state === 'running' && left < notice) return;
-    b.stop = { grace: job.spec.save, reason: 'notice' };
+    this.term.stop(b, { grace: job.spec.save, reason: 'notice' });
   }
 }
-
-/** Work lost if the task is stopped now; one that saves loses only what stopping takes. */
-function lost(b: Binding, job: LiveJob, now: Instant): number {
-  const ran = b.runningSince === null || b.state === 'fetching' ? 0 : now - b.runningSince;
-  const fresh = ran < FRESH_START ? FRESH_START : 0;
-  return fresh + (job.spec.checkpoint > 0 ? job.spec.save : ran);
-}
--- a/packages/controller/src/requests.ts
+++ b/packages/controller/src/requests.ts
@@ -14,13 +14,13 @@
 import type { Catalog } from './catalog.js';
 import {
   endedKey,
-  liveFolder,
+  readLive,
   specKey,
-  type ChunkValue,
   type EndedValue,
   type LiveValue,
 } from './keys.js';
-import type { Peers } from './peers.js';
+import { LiveProofs } from './live-proofs.js';
+import type { JobCounts, Peers } from './peers.js';
 import { PRIORITY, type Command, type Reply } from './ports.js';
 import type { Runtime } from './runtime.js';
 import type { StateStore } from './state-store.js';
@@ -30,7 +30,7 @@
 
 /** What the state service says of a job; `unsure` when it can't be told. */
 type Known =
-  | { kind: 'live'; view: JobView; value: LiveValue; version: number }
+  | { kind: 'live'; value: LiveValue | null; version: number }
   | { kind: 'ended'; view: JobView }
   | { kind: 'none' }
   | { kind: 'unsure' };
@@ -49,12 +49,13 @@
 const shown = (view: JobView, status = 200): Reply => ({ status, body: renderJobView(view) });
 
 /**
- * Users' requests, served on any node straight from the state service: a job is
- * accepted, done or cancelled when its key says so, and polls read after they
+ * Users' requests, served on any node from the state service: a job is accepted,
+ * done or cancelled when its key says so, and polls read or compare keys after they
  * arrive. Only final answers are cached, since they can't change.
  */
 export class Requests {
   private readonly ended = new Map<string, JobView>();
+  private readonly proofs: LiveProofs;
   private pending = 0;
 
   constructor(
@@ -62,7 +63,10 @@
     private readonly state: StateStore,
     private readonly catalog: Catalog,
     private readonly peers: Peers,
-  ) {}
+    private readonly counts: (id: string) => JobCounts | undefined,
+  ) {
+    this.proofs = new LiveProofs(rt, state);
+  }
 
   /** False if the path is none of the users'. */
   handle(request: Request): boolean {
@@ -106,11 +110,27 @@
   // --- reading ---------------------------------------------------------------
 
   private poll(id: string, answer: Answer): void {
-    this.look(id, (known) => {
-      if (known.kind === 'unsure') answer(unsure());
-      else if (known.kind === 'none') answer(refuse(404, 'no such job'));
-      else answer(shown(known.view));
+    const proven = this.proofs.ask(id, (proof) => {
+      if (proof === 'unsure') answer(unsure());
+      else if (proof === 'live') answer(shown(this.liveView(id)));
+      else this.read(id, answer);
     });
+    if (!proven) this.read(id, answer);
+  }
+
+  private read(id: string, answer: Answer): void {
+    this.look(id, (known) => answer(this.replyFor(id, known, refuse(404, 'no such job'))));
+  }
+
+  private replyFor(id: string, known: Known, none: Reply): Reply {
+    if (known.kind === 'unsure') return unsure();
+    if (known.kind === 'none') return none;
+    return shown(known.kind === 'ended' ? known.view : this.liveView(id));
+  }
+
+  private liveView(id: string): JobView {
+    const { done, running } = this.counts(id) ?? { done: 0, running: 0 };
+    return { id, state: running > 0 ? 'running' : 'queued', done, running };
   }
 
   /** Live first, then ended: a job moves only from the one to the other. */
@@ -118,13 +138,14 @@
     const cached = this.ended.get(id);
     if (cached) return done({ kind: 'ended', view: cached });
     if (!isJobId(id)) return done({ kind: 'none' });
-    this.state.readAll(liveFolder(id), PRIORITY.user, (live) => {
-      if (!live) return done({ kind: 'unsure' });
-      const spec = live.items.find((i) => i.key === specKey(id));
-      if (!spec) return this.lookEnded(id, done);
-      const chunks = live.items.filter((i) => i !== spec).map((i) => i.value as ChunkValue);
-      const view = liveView(id, chunks);
-      done({ kind: 'live', view, value: spec.value as LiveValue, version: spec.version });
+    this.state.get(specKey(id), PRIORITY.user, (got) => {
+      if (got.kind === 'failed') return done({ kind: 'unsure' });
+      if (got.kind === 'missing') return this.lookEnded(id, done);
+      const { key, version } = got.item;
+      const value = readLive(got.item.value);
+      if (!value) this.rt.env.log('error', { key }, 'stored value can not be read');
+      this.proofs.note(id, version);
+      done({ kind: 'live', value, version });
     });
   }
 
@@ -140,6 +161,7 @@
   private remember(id: string, state: EndedValue['state'], tasks: number): JobView {
     const counts = state === 'done' ? { done: tasks, running: 0 } : {};
     const view: JobView = { id, state, ...counts };
+    this.proofs.forget(id);
     this.ended.set(id, view);
     const oldest = this.ended.keys().next().value;
     if (this.ended.size > MOST_CACHED && oldest !== undefined) this.ended.delete(oldest);
@@ -171,10 +193,7 @@
   /** A refusal is only for a job that is not known already. */
   private judge(id: string | null, reply: Reply, answer: Answer): void {
     if (id === null) return answer(reply);
-    this.look(id, (known) => {
-      if (known.kind === 'unsure') answer(unsure());
-      else answer(known.kind === 'none' ? reply : shown(known.view));
-    });
+    this.look(id, (known) => answer(this.replyFor(id, known, reply)));
   }
 
   private accept(spec: JobSpec, value: LiveValue, answer: Answer): void {
@@ -185,6 +204,7 @@
     const write = { put: specKey(spec.id), value };
     this.state.commit(guards, [write], PRIORITY.user, (committed) => {
       if (committed.kind === 'ok') {
+        this.proofs.note(spec.id, committed.revision);
         this.rt.env.log('info', { job: spec.id, tasks: spec.taskCount }, 'job accepted');
         return answer(shown({ id: spec.id, state: 'queued' }, 201));
       }
@@ -201,6 +221,7 @@
       if (known.kind === 'unsure' || tries === 0) return answer(unsure());
       if (known.kind === 'none') return answer(refuse(404, 'no such job'));
       if (known.kind === 'ended') return answer(shown({ id, state: known.view.state }));
+      if (!known.value) return answer(unsure());
       this.commitCancel(id, known.value, known.version, tries, answer);
     });
   }
@@ -226,9 +247,3 @@
     });
   }
 }
-
-function liveView(id: string, chunks: ChunkValue[]): JobView {
-  const done = chunks.reduce((sum, c) => sum + c.done, 0);
-  const running = chunks.reduce((sum, c) => sum + c.running, 0);
-  return { id, state: running > 0 ? 'running' : 'queued', done, running };
-}
--- /dev/null
+++ b/packages/controller/src/room-maker.ts
@@ -0,0 +1,125 @@
+import type { Instant } from '@tealdock/wire';
+import {
+  fits,
+  minus,
+  need,
+  planRoom,
+  plus,
+  rank,
+  type Plan,
+  type Resources,
+  type Victim,
+} from '@tealdock/scheduler';
+import type { Desk } from './desks.js';
+import type { LiveJob } from './live-job.js';
+import type { Binding } from './machine.js';
+import type { Runtime } from './runtime.js';
+import type { Term } from './term.js';
+
+/** A start that is stopped sooner than this was in vain for whoever waited for it. */
+const FRESH_START = 30_000;
+
+interface DeskPlan extends Plan<Binding> {
+  desk: Desk;
+}
+
+/**
+ * Makes room for the tasks of one job by stopping others, where that loses the
+ * least work. Plans are made once for all machines; each use changes one machine.
+ */
+export class RoomMaker {
+  private readonly plans: DeskPlan[];
+  private readonly wanted: Resources;
+
+  constructor(
+    private readonly rt: Runtime,
+    private readonly term: Term,
+    private readonly job: LiveJob,
+    private readonly guaranteed: () => boolean,
+    desks: Desk[],
+  ) {
+    this.wanted = need(job.spec);
+    const plans = desks.map((d) => this.planFor(d)).filter((p) => p !== null);
+    this.plans = plans.sort((a, b) => a.lost - b.lost);
+  }
+
+  /** Has what is needed for one task stopped; null if nothing may be. */
+  make(): Desk | null {
+    for (;;) {
+      const plan = this.plans.shift();
+      if (!plan) return null;
+      // What was stopped since may have changed who borrows.
+      if (!plan.victims.every((v) => this.mayStop(v.of, this.guaranteed()))) {
+        this.planAgain(plan.desk);
+        continue;
+      }
+      for (const victim of plan.victims) this.stop(plan.desk, victim);
+      return plan.desk;
+    }
+  }
+
+  /** To be called once the room has been promised to a task. */
+  planAgain(desk: Desk): void {
+    const plan = this.planFor(desk);
+    if (!plan) return;
+    const at = this.plans.findIndex((p) => p.lost > plan.lost);
+    this.plans.splice(at < 0 ? this.plans.length : at, 0, plan);
+  }
+
+  private planFor(desk: Desk): DeskPlan | null {
+    // Where room is coming already, nothing needs to be stopped.
+    if (fits(this.wanted, desk.coming)) return null;
+    const plan = planRoom(desk.coming, this.victims(desk), this.wanted);
+    return plan && { ...plan, desk };
+  }
+
+  private victims(desk: Desk): Victim<Binding>[] {
+    const victims: Victim<Binding>[] = [];
+    const guaranteed = this.guaranteed();
+    for (const b of desk.machine.bindings.values()) {
+      if (!this.mayStop(b, guaranteed)) continue;
+      const other = this.term.jobs.get(b.job)!;
+      victims.push({ of: b, size: b.size, lost: lost(b, other, this.rt.now) });
+    }
+    return victims;
+  }
+
+  private stop(desk: Desk, victim: Victim<Binding>): void {
+    const b = victim.of;
+    const reason = `room for ${this.job.id}`;
+    this.term.stop(b, { grace: this.term.jobs.get(b.job)?.spec.save ?? 0, reason });
+    desk.coming = plus(desk.coming, victim.size);
+    this.rt.env.log('debug', { task: b.task, machine: b.machine, reason }, 'preempting');
+  }
+
+  /**
+   * Within a team priority decides. Work inside another team's guarantee gives
+   * way only to higher work that is inside its own: were it stopped for borrowed
+   * work, its team would reclaim the room at once, and so on without end.
+   */
+  private mayStop(b: Binding, guaranteed: boolean): boolean {
+    const other = this.term.jobs.get(b.job);
+    if (!other || b.stop || b.phase !== 'seen') return false;
+    const lower = rank(other.spec) < rank(this.job.spec);
+    if (other.spec.team === this.job.spec.team) return lower;
+    return this.borrows(other) ? lower || guaranteed : lower && guaranteed;
+  }
+
+  /**
+   * The other team uses so much beyond its guarantee that it stays at it without
+   * what the task needs. Were less enough, it would reclaim the rest at once.
+   */
+  private borrows(other: LiveJob): boolean {
+    const team = this.rt.settings.teams.find((t) => t.name === other.spec.team);
+    if (!team) return false;
+    const left = minus(this.term.ledger.teamStaying(team.name), this.wanted);
+    return left.cpus >= team.cpus && left.gpus >= team.gpus;
+  }
+}
+
+/** Work lost if the task is stopped now; one that saves loses only what stopping takes. */
+function lost(b: Binding, job: LiveJob, now: Instant): number {
+  const ran = b.runningSince === null || b.state === 'fetching' ? 0 : now - b.runningSince;
+  const fresh = ran < FRESH_START ? FRESH_START : 0;
+  return fresh + (job.spec.checkpoint > 0 ? job.spec.save : ran);
+}
--- a/packages/controller/src/runtime.ts
+++ b/packages/controller/src/runtime.ts
@@ -1,8 +1,11 @@
-import type { Instant, Duration, OperatorSettings, Settings } from '@tealdock/wire';
+import TinyQueue from 'tinyqueue';
+import type { Duration, Instant, JobCount, OperatorSettings, Settings } from '@tealdock/wire';
 import type { Call, CallResult, Effect, Log, Random, Reply } from './ports.js';
 
 interface Timer {
   due: Instant;
+  /** Timers due at the same instant run in the order in which they were set. */
+  order: number;
   run: () => void;
 }
 
@@ -23,8 +26,12 @@
   today = new Date(0);
   private effects: Effect[] = [];
   private readonly waiting = new Map<number, (result: CallResult) => void>();
-  private timers: Timer[] = [];
+  private readonly timers = new TinyQueue<Timer>(
+    [],
+    (a, b) => a.due - b.due || a.order - b.order,
+  );
   private lastId = 0;
+  private lastTimer = 0;
 
   constructor(readonly env: Environment) {}
 
@@ -50,6 +57,10 @@
     this.effects.push({ kind: 'beat', leader, token, stateOk });
   }
 
+  tellCounts(jobs: JobCount[]): void {
+    this.effects.push({ kind: 'counts', jobs });
+  }
+
   settle(id: number, result: CallResult): void {
     const done = this.waiting.get(id);
     this.waiting.delete(id);
@@ -57,7 +68,7 @@
   }
 
   after(delay: Duration, run: () => void): void {
-    this.timers.push({ due: this.now + delay, run });
+    this.timers.push({ due: this.now + delay, order: ++this.lastTimer, run });
   }
 
   /** Runs `run` now and then every `period`, until it returns false. */
@@ -68,15 +79,22 @@
     again();
   }
 
+  /** Timers that these set, even for now, wait for the next batch. */
   runDue(): void {
-    const due = this.timers.filter((t) => t.due <= this.now);
-    if (due.length === 0) return;
-    this.timers = this.timers.filter((t) => t.due > this.now);
-    for (const timer of due.sort((a, b) => a.due - b.due)) timer.run();
+    const last = this.lastTimer;
+    const later: Timer[] = [];
+    for (;;) {
+      const timer = this.timers.peek();
+      if (!timer || timer.due > this.now) break;
+      this.timers.pop();
+      if (timer.order > last) later.push(timer);
+      else timer.run();
+    }
+    for (const timer of later) this.timers.push(timer);
   }
 
   nextDue(): Instant {
-    return this.timers.reduce((least, t) => Math.min(least, t.due), Infinity);
+    return this.timers.peek()?.due ?? Infinity;
   }
 
   takeEffects(): Effect[] {
--- a/packages/controller/src/state-store.ts
+++ b/packages/controller/src/state-store.ts
@@ -9,9 +9,11 @@
   parseGrant,
   parseItem,
   parsePage,
+  parseRefused,
   renderCommit,
   renewPath,
   watchPath,
+  type Duration,
   type Guard,
   type Instant,
   type StateEvent,
@@ -32,6 +34,9 @@
   | { kind: 'refused' }
   | { kind: 'unknown' };
 
+/** Whether keys have the versions that they were compared with. */
+export type Compared = { kind: 'equal' } | { kind: 'changed'; failed: string[] } | { kind: 'unsure' };
+
 export type Watched =
   | { kind: 'events'; revision: number; events: StateEvent[] }
   | { kind: 'too_old' }
@@ -105,6 +110,17 @@
     );
   }
 
+  /** A transaction without changes. */
+  compare(guards: Guard[], timeout: Duration, done: (compared: Compared) => void): void {
+    const body = renderCommit(guards, []);
+    this.send('POST', COMMIT_PATH, body, PRIORITY.user, 0, timeout, (r) => {
+      if (r.kind !== 'answer') return done({ kind: 'unsure' });
+      if (r.status === 200) return done({ kind: 'equal' });
+      const failed = r.status === 409 ? attempt(() => parseRefused(r.body)) : null;
+      done(failed ? { kind: 'changed', failed } : { kind: 'unsure' });
+    });
+  }
+
   grant(life: number, done: (lease: number | null) => void): void {
     const body = { life_ms: Math.round(life) };
     this.send('POST', GRANTS_PATH, body, PRIORITY.lease, 0, READ_TIMEOUT, (r) =>
--- a/packages/controller/src/term.ts
+++ b/packages/controller/src/term.ts
@@ -1,6 +1,7 @@
 import {
   splitTaskId,
   taskId,
+  type Duration,
   type Instant,
   type JobSpec,
   type MachineType,
@@ -10,21 +11,23 @@
   type TaskReport,
   type WorkerReport,
 } from '@tealdock/wire';
-import { NOTHING, need, plus, type Place, type Resources } from '@tealdock/scheduler';
+import { NOTHING, fits, least, need, type Resources } from '@tealdock/scheduler';
 import {
   LIVE_PREFIX,
-  MACHINE_PREFIX,
+  PROGRESS_PREFIX,
+  ROSTER_PREFIX,
   endedKey,
-  machineKey,
+  readLive,
   splitLiveKey,
-  type ChunkValue,
+  splitProgressEntry,
   type EndedValue,
-  type LiveValue,
-  type MachineValue,
+  type RosterEntry,
 } from './keys.js';
 import type { Leadership } from './leadership.js';
+import { Ledger } from './ledger.js';
 import { LiveJob } from './live-job.js';
-import { Machine, bindingKey, type Binding } from './machine.js';
+import { Machine, bindingKey, type Binding, type StopWish } from './machine.js';
+import { PackedTable } from './packed-table.js';
 import { PRIORITY } from './ports.js';
 import type { Runtime } from './runtime.js';
 import type { StateStore } from './state-store.js';
@@ -40,7 +43,18 @@
 const BOOKING_PATIENCE = 1.8;
 const MACHINE_FAILURES = 3;
 const ASIDE = 120_000;
-const MOST_GONE = 2000;
+const MOST_GONE = 5000;
+/** Machines that join within this time share a commit. */
+const JOIN_GATHER = 150;
+/** How long a machine is put aside whose start never showed up; fourfold each time. */
+const LOST_START_ASIDE = 3000;
+
+/** What came of a report. */
+interface Taken {
+  /** False for a report that is late, or made under another token. */
+  counted: boolean;
+  orders: Order[];
+}
 
 /**
  * What one term of leadership knows: live jobs, machines and which task is bound
@@ -56,12 +70,18 @@
   closed = false;
   /** Learnt ratio of actual to estimated run time, by class. */
   readonly ratios = new Map<string, number>();
-  /** Keys of progress whose job has ended. */
+  /** Keys below the live jobs that belong to none. */
   readonly orphans: string[] = [];
+  readonly ledger = new Ledger();
+  readonly roster: PackedTable<RosterEntry>;
+  readonly progress: PackedTable<string>;
+  /** Machines whose held answer may have got orders. */
+  readonly stirred = new Set<string>();
+  /** Less than this is asked for by no task of a live job. */
+  private smallest: Resources = NOTHING;
   private readonly gone = new Set<string>();
   private readonly early = new Map<string, WorkerReport>();
-  private lookups = 0;
-  private readonly joining = new Set<string>();
+  private readonly lookups = new Map<string, Binding[]>();
 
   constructor(
     private readonly rt: Runtime,
@@ -71,6 +91,17 @@
   ) {
     this.acquired = rt.now;
     this.lastReport = rt.now;
+    const table = { priority: PRIORITY.leader };
+    this.roster = new PackedTable(rt, state, leadership, ROSTER_PREFIX, {
+      ...table,
+      gather: JOIN_GATHER,
+      stored: (entries) => this.enrolled(entries),
+    });
+    this.progress = new PackedTable(rt, state, leadership, PROGRESS_PREFIX, {
+      ...table,
+      gather: 0,
+      stored: (entries) => this.progressStored(entries),
+    });
   }
 
   /** The end of a worker's lease if its last answered report was sent at `sent`. */
@@ -85,7 +116,7 @@
 
   /** Everything that reports have shown so far is known by size and team. */
   get settled(): boolean {
-    return this.loaded && this.lookups === 0;
+    return this.loaded && this.lookups.size === 0;
   }
 
   unresolved(): Machine[] {
@@ -96,8 +127,8 @@
    * Placing waits until the roster is accounted for. A job committed after this
    * term's token is an exception: no older term can have started any of it.
    */
-  mayPlace(job: LiveJob): boolean {
-    return this.ready || (this.settled && job.version > this.token);
+  mayPlace(job: LiveJob, ready: boolean): boolean {
+    return ready || (this.settled && job.version > this.token);
   }
 
   start(): void {
@@ -110,6 +141,8 @@
 
   close(): void {
     this.closed = true;
+    this.roster.close();
+    this.progress.close();
   }
 
   // --- rebuild ---------------------------------------------------------------
@@ -117,18 +150,30 @@
   private load(): void {
     if (this.closed) return;
     const retry = () => this.rt.after(RETRY, () => this.load());
-    this.state.readAll(MACHINE_PREFIX, PRIORITY.leader, (roster) => {
-      if (!roster) return retry();
+    this.readTables((roster, progress) => {
+      if (!roster || !progress) return retry();
       this.state.readAll(LIVE_PREFIX, PRIORITY.leader, (live) => {
         if (!live) return retry();
         if (this.closed) return;
-        for (const item of roster.items) this.loadMachine(item);
+        for (const [id, entry] of this.roster.load(roster)) this.loadMachine(id, entry);
         this.loadJobs(live.items);
+        this.progressStored(this.progress.load(progress));
         this.finishLoad(live.revision);
       });
     });
   }
 
+  private readTables(
+    done: (roster: StateItem[] | null, progress: StateItem[] | null) => void,
+  ): void {
+    this.state.readAll(ROSTER_PREFIX, PRIORITY.leader, (roster) => {
+      if (!roster) return done(null, null);
+      this.state.readAll(PROGRESS_PREFIX, PRIORITY.leader, (progress) =>
+        done(roster.items, progress?.items ?? null),
+      );
+    });
+  }
+
   private finishLoad(revision: number): void {
     this.loaded = true;
     this.rt.env.log(
@@ -141,37 +186,37 @@
     this.watch(revision);
   }
 
-  private loadMachine(item: StateItem): void {
-    const id = item.key.slice(MACHINE_PREFIX.length);
-    const value = item.value as MachineValue;
-    const known = this.machines.get(id);
-    const m = known ?? new Machine(id, value.type, value.zone, value.spot);
+  private loadMachine(id: string, [type, zone, spot, returning, since]: RosterEntry): void {
+    const m = this.machines.get(id) ?? new Machine(id, type, zone, spot === 1);
     m.inRoster = true;
-    m.returning = value.returning;
-    m.since = this.rt.now - Math.max(0, this.rt.today.getTime() - value.since);
-    m.returnCommitted = value.returning;
+    m.returning = m.returnCommitted = returning === 1;
+    m.since = this.rt.now - Math.max(0, this.rt.today.getTime() - since * 1000);
     m.resolved = m.lastCounted !== null;
     this.machines.set(id, m);
   }
 
   private loadJobs(items: StateItem[]): void {
-    const chunks: { key: string; job: string; rest: string; value: unknown }[] = [];
     for (const item of items) {
       const at = splitLiveKey(item.key);
-      if (!at) continue;
-      if (at.rest === 'spec') this.addJob(at.job, item.value as LiveValue, item.version);
-      else chunks.push({ ...at, key: item.key, value: item.value });
+      if (at?.rest === 'spec') this.addJob(at.job, item.value, item.version);
+      else this.orphans.push(item.key);
     }
-    for (const c of chunks) {
-      const index = Number(c.rest.split('/')[1]);
-      const job = this.jobs.get(c.job);
-      if (job) job.loadChunk(index, c.value as ChunkValue);
-      else this.orphans.push(c.key);
+  }
+
+  /** What the progress table says is done; entries of jobs that have ended are dropped. */
+  private progressStored(entries: [string, string][]): void {
+    for (const [entry, bits] of entries) {
+      const at = splitProgressEntry(entry);
+      const job = this.jobs.get(at.job);
+      if (job) job.noteStored(at.chunk, bits);
+      else this.progress.delete(entry);
     }
   }
 
-  private addJob(id: string, value: LiveValue, version: number): void {
+  private addJob(id: string, stored: unknown, version: number): void {
     if (this.jobs.has(id)) return;
+    const value = readLive(stored);
+    if (!value) return this.rt.env.log('error', { job: id }, 'stored job can not be read');
     const age = Math.max(0, this.rt.today.getTime() - value.submitted);
     this.jobs.set(id, new LiveJob(value.spec, version, this.rt.now - age));
     const { jobClass, taskCount, image, imageGb } = value.spec;
@@ -200,7 +245,7 @@
       const specs = live.items.filter((i) => i.key.endsWith('/spec'));
       const alive = new Set(specs.map((i) => splitLiveKey(i.key)?.job));
       for (const id of [...this.jobs.keys()]) if (!alive.has(id)) this.endJob(id);
-      for (const i of specs) this.addJob(splitLiveKey(i.key)!.job, i.value as LiveValue, i.version);
+      for (const i of specs) this.addJob(splitLiveKey(i.key)!.job, i.value, i.version);
       this.watch(live.revision);
     });
   }
@@ -209,7 +254,7 @@
     const at = splitLiveKey(event.key);
     if (at?.rest !== 'spec') return;
     if (event.removed) this.endJob(at.job);
-    else this.addJob(at.job, event.value as LiveValue, event.version);
+    else this.addJob(at.job, event.value, event.version);
   }
 
   /** A job that is no longer live: by its own end, or cancelled on any node. */
@@ -225,27 +270,45 @@
   private discard(binding: Binding, reason: string): void {
     if (binding.phase === 'booked') return this.unbind(binding);
     binding.foreign = true;
-    binding.stop = { grace: 0, reason };
+    this.stop(binding, { grace: 0, reason });
+  }
+
+  /** Has a task stopped by the next answer to its machine. */
+  stop(binding: Binding, wish: StopWish): void {
+    this.ledger.change(binding, () => (binding.stop = wish));
+    this.machines.get(binding.machine)?.touch();
+    this.stirred.add(binding.machine);
   }
 
   // --- reports ---------------------------------------------------------------
 
-  /** Takes in a report; the answer's orders come from `ordersFor`. */
-  report(report: WorkerReport): Order[] {
+  /** Takes in a report; its answer may carry the orders. */
+  report(report: WorkerReport): Taken {
     this.lastReport = this.rt.now;
-    if (this.gone.has(report.machine)) return [];
+    const ignored = { counted: false, orders: [] };
+    if (this.gone.has(report.machine)) return ignored;
     const m = this.machineOf(report);
     // Its lease is renewed by the answer, whatever the report is worth otherwise.
     m.lastHeard = this.rt.now;
     if (!this.loaded) {
-      if (report.token === this.token) this.early.set(report.machine, report);
-      return [];
+      if (report.token === this.token) this.keepEarly(report);
+      return ignored;
     }
     // Tasks of a report sent before the worker saw this token may be outdated by
     // a start of the term before; a late report is outdated by a newer one.
-    if (report.token !== this.token || !m.isNews(report)) return [];
+    if (report.token !== this.token || !m.isNews(report)) return ignored;
     this.absorb(report);
-    return this.ordersFor(m);
+    return { counted: true, orders: this.ordersFor(m) };
+  }
+
+  /** The newest one counts: a late copy must not take the place of a newer report. */
+  private keepEarly(report: WorkerReport): void {
+    const kept = this.early.get(report.machine);
+    const older =
+      kept !== undefined &&
+      (report.session < kept.session ||
+        (report.session === kept.session && report.seq <= kept.seq));
+    if (!older) this.early.set(report.machine, report);
   }
 
   private machineOf(report: WorkerReport): Machine {
@@ -270,28 +333,48 @@
     m.lastCounted = this.rt.now;
     m.noticeUntil = report.notice === null ? null : this.rt.now + report.notice;
     m.resolved = true;
-    const listed = new Set(report.tasks.map((t) => bindingKey(t.task, t.attempt)));
     m.exited = report.tasks.filter((t) => t.state === 'exited');
     for (const t of report.tasks) this.absorbTask(m, t);
-    for (const b of [...m.bindings.values()]) {
-      const known = b.phase !== 'booked';
-      if (known && !listed.has(bindingKey(b.task, b.attempt))) this.end(b, 'not on the machine');
-    }
+    this.endMissing(m, report);
     this.join(m);
   }
 
+  private endMissing(m: Machine, report: WorkerReport): void {
+    const listed = new Set(report.tasks.map((t) => bindingKey(t.task, t.attempt)));
+    let lost = false;
+    for (const [key, b] of [...m.bindings]) {
+      if (b.phase === 'booked' || listed.has(key)) continue;
+      lost ||= b.phase === 'sent';
+      this.end(b, 'not on the machine');
+    }
+    if (lost) this.noteLostStart(m);
+  }
+
+  /**
+   * Reports of a machine may arrive while no answer reaches it. It then looks idle,
+   * the best of volunteers, and would eat start after start.
+   */
+  private noteLostStart(m: Machine): void {
+    const aside = Math.min(ASIDE, LOST_START_ASIDE * 4 ** m.lostStarts++);
+    m.asideUntil = Math.max(m.asideUntil, this.rt.now + aside);
+    this.rt.env.log('info', { machine: m.id, lostStarts: m.lostStarts, aside }, 'start was lost');
+    this.unbookAll(m);
+  }
+
   private absorbTask(m: Machine, t: TaskReport): void {
     const bound = m.bindings.get(bindingKey(t.task, t.attempt));
     if (t.state === 'exited') return this.absorbExit(m, t, bound);
     const b = bound ?? this.adopt(m, t);
+    if (b.phase === 'seen' && b.state === t.state) return;
+    m.lostStarts = 0;
     b.phase = 'seen';
     if (t.state !== 'fetching') this.noteStart(m, b);
     b.state = t.state;
+    m.touch();
   }
 
   private noteStart(m: Machine, b: Binding): void {
-    const job = this.jobs.get(b.job);
-    if (job) m.noteImage(job.spec.image);
+    if (b.image !== null) m.noteImage(b.image);
     if (b.runningSince !== null) return;
     b.runningSince = this.rt.now;
     this.rt.env.log('debug', { task: b.task, machine: m.id }, 'task runs');
@@ -357,6 +440,7 @@
       machine: m.id,
       team: job?.spec.team ?? '',
       size: job ? need(job.spec) : NOTHING,
+      image: job?.spec.image ?? null,
       phase: 'seen',
       bookedAt: this.rt.now,
       sentSession: 0,
@@ -366,7 +450,7 @@
       stop: wanted ? null : { grace: 0, reason: 'not wanted' },
       foreign: !wanted,
     };
-    m.bindings.set(bindingKey(b.task, b.attempt), b);
+    this.bind(m, b);
     if (wanted) {
       job.bound.set(b.index, b);
       job.open.delete(b.index);
@@ -377,18 +461,45 @@
 
   /** What an ended job's task takes has to be known before anything is placed. */
   private lookUp(b: Binding): void {
-    this.lookups++;
-    this.state.get(endedKey(b.job), PRIORITY.leader, (got) => {
-      this.lookups--;
+    const asked = this.lookups.get(b.job);
+    if (asked) return void asked.push(b);
+    this.lookups.set(b.job, [b]);
+    this.askFor(b.job);
+  }
+
+  private askFor(job: string): void {
+    this.state.get(endedKey(job), PRIORITY.leader, (got) => {
       if (this.closed) return;
-      if (got.kind === 'failed') return this.rt.after(RETRY, () => this.lookUp(b));
-      if (got.kind === 'found') this.fill(b, (got.item.value as EndedValue).spec);
+      if (got.kind === 'failed') return this.rt.after(RETRY, () => this.askFor(job));
+      const bindings = this.lookups.get(job) ?? [];
+      this.lookups.delete(job);
+      if (got.kind === 'found') this.fill(bindings, (got.item.value as EndedValue).spec);
+      if (this.settled) this.stirBooked();
     });
   }
 
-  private fill(b: Binding, spec: JobSpec): void {
-    b.team = spec.team;
-    b.size = need(spec);
+  private fill(bindings: Binding[], spec: JobSpec): void {
+    for (const b of bindings) {
+      const m = this.machines.get(b.machine);
+      if (m?.bindings.get(bindingKey(b.task, b.attempt)) !== b) continue;
+      this.ledger.change(b, () => {
+        b.team = spec.team;
+        b.size = need(spec);
+      });
+      m.touch();
+    }
+  }
+
+  /** Starts that had to wait may leave now. */
+  private stirBooked(): void {
+    for (const m of this.machines.values()) if (this.awaitsOrders(m.id)) this.stirred.add(m.id);
+  }
+
+  /** True while something is booked there that no answer has carried yet. */
+  awaitsOrders(machine: string): boolean {
+    const m = this.machines.get(machine);
+    if (m) for (const b of m.bindings.values()) if (b.phase === 'booked') return true;
+    return false;
   }
 
   /** True if an answer to the machine's newest report would carry orders by now. */
@@ -406,11 +517,14 @@
     return m ? this.ordersFor(m) : [];
   }
 
-  /** An answer may be kept back only for a report that counts, from a machine to be used. */
-  mayHold(report: WorkerReport): boolean {
-    const m = this.machines.get(report.machine);
-    if (!m || !this.loaded || m.returning || m.noticeUntil !== null) return false;
-    return report.token === this.token && m.session === report.session && m.seq === report.seq;
+  /**
+   * How long an answer without orders may be kept back: a machine with free room
+   * may get a start, while the news of a full one should not wait for it.
+   */
+  holdFor(machine: string, type: MachineType): Duration {
+    const m = this.machines.get(machine);
+    if (!m || m.returning || m.noticeUntil !== null) return 0;
+    return fits(this.smallest, m.free(type)) ? this.rt.operator.window.holdAnswer : 0;
   }
 
   /** Orders that the worker's newest report calls for; starts leave only here. */
@@ -435,17 +549,6 @@
     return orders;
   }
 
-  /** Images that tasks on the machine, or on their way there, still wait for. */
-  fetching(m: Machine): Set<string> {
-    const images = new Set<string>();
-    for (const b of m.bindings.values()) {
-      const image = this.jobs.get(b.job)?.spec.image;
-      const waits = b.phase !== 'seen' || b.state === 'fetching';
-      if (image !== undefined && waits && !m.images.has(image)) images.add(image);
-    }
-    return images;
-  }
-
   stopOrder(b: Binding): Order | null {
     if (!b.stop || b.phase !== 'seen') return null;
     if (b.state === 'saving' && b.stop.grace > 0) return null;
@@ -478,6 +581,7 @@
       machine: m.id,
       team: job.spec.team,
       size: need(job.spec),
+      image: job.spec.image,
       phase: 'booked',
       bookedAt: this.rt.now,
       sentSession: 0,
@@ -487,13 +591,24 @@
       stop: null,
       foreign: false,
     };
-    m.bindings.set(bindingKey(b.task, b.attempt), b);
+    this.bind(m, b);
     job.open.delete(index);
     job.bound.set(index, b);
+    this.stirred.add(m.id);
+  }
+
+  private bind(m: Machine, b: Binding): void {
+    m.bindings.set(bindingKey(b.task, b.attempt), b);
+    m.touch();
+    this.ledger.add(b, m.zone);
   }
 
   private unbind(b: Binding): void {
-    this.machines.get(b.machine)?.bindings.delete(bindingKey(b.task, b.attempt));
+    const m = this.machines.get(b.machine);
+    if (m?.bindings.delete(bindingKey(b.task, b.attempt))) {
+      m.touch();
+      this.ledger.remove(b, m.zone);
+    }
     const job = this.jobs.get(b.job);
     if (job?.bound.get(b.index) === b) {
       job.bound.delete(b.index);
@@ -519,29 +634,11 @@
     for (const b of [...m.bindings.values()]) if (b.phase === 'booked') this.unbind(b);
   }
 
-  /** Everything bound to a team, the unproven too; `staying` leaves out what is being stopped. */
-  teamUse(team: string, staying = false): Resources {
-    let sum = NOTHING;
-    for (const m of this.machines.values()) {
-      for (const b of m.bindings.values())
-        if (b.team === team && !(staying && b.stop)) sum = plus(sum, b.size);
-    }
-    return sum;
-  }
-
-  zonesOf(job: LiveJob): Map<string, number> {
-    const zones = new Map<string, number>();
-    for (const m of this.machines.values()) {
-      for (const b of m.bindings.values()) {
-        if (b.job === job.id) zones.set(m.zone, (zones.get(m.zone) ?? 0) + 1);
-      }
-    }
-    return zones;
-  }
-
   // --- time ------------------------------------------------------------------
 
   private sweep(): void {
+    const needs = [...this.jobs.values()].map((job) => need(job.spec));
+    this.smallest = needs.length > 0 ? needs.reduce(least) : NOTHING;
     for (const m of this.machines.values()) {
       m.accumulate(1000);
       this.checkLease(m);
@@ -562,24 +659,37 @@
     }
     this.endAll(m, 'lease ran out');
     m.resolved = true;
+    // Never enrolled, so without tasks: what a late copy of a report told of.
+    if (!m.inRoster && m.bindings.size === 0) this.machines.delete(m.id);
   }
 
   /** The roster gets a machine before the machine gets its first start. */
   private join(m: Machine): void {
-    if (m.inRoster || this.joining.has(m.id)) return;
-    this.joining.add(m.id);
-    const value = this.rosterValue(m, m.returning);
-    const write = { put: machineKey(m.id), value };
-    this.state.commit([this.leadership.guard()], [write], PRIORITY.leader, (committed) => {
-      this.joining.delete(m.id);
-      if (committed.kind === 'ok') m.inRoster = true;
-    });
+    if (!m.inRoster && this.roster.get(m.id) === undefined) this.enroll(m);
+  }
+
+  private enroll(m: Machine): void {
+    const age = this.rt.now - Math.min(m.since, this.rt.now);
+    const since = Math.round((this.rt.today.getTime() - age) / 1000);
+    this.roster.set(m.id, [m.type, m.zone, m.spot ? 1 : 0, m.returning ? 1 : 0, since]);
   }
 
-  rosterValue(m: Place & { since?: Instant }, returning: boolean): MachineValue {
-    const age = this.rt.now - Math.min(m.since ?? this.rt.now, this.rt.now);
-    const since = Math.round(this.rt.today.getTime() - age);
-    return { type: m.type, zone: m.zone, spot: m.spot, returning, since };
+  private enrolled(entries: [string, RosterEntry][]): void {
+    for (const [id, entry] of entries) {
+      const m = this.machines.get(id);
+      if (!m) continue;
+      m.inRoster = true;
+      if (entry[3] === 1) m.returnCommitted = true;
+      if (this.awaitsOrders(id)) this.stirred.add(id);
+    }
+  }
+
+  /** Gets no more work; kept in the roster too, so that no later term gives it any. */
+  markReturning(m: Machine): void {
+    if (m.returning) return;
+    m.returning = true;
+    this.unbookAll(m);
+    this.enroll(m);
   }
 
   /** The cloud answered 200 to its return: the machine and all on it are gone. */
@@ -590,6 +700,7 @@
     this.unbookAll(m);
     this.endAll(m, 'returned to the cloud');
     this.machines.delete(id);
+    this.roster.remove(id);
   }
 
   isGone(id: string): boolean {
@@ -605,5 +716,6 @@
 
 /** Capacity of a machine by the catalog; nothing is placed on an unknown type. */
 export function typeOf(types: MachineType[], m: Machine): MachineType | undefined {
-  return types.find((t) => t.name === m.type);
+  for (const t of types) if (t.name === m.type) return t;
+  return undefined;
 }
--- a/packages/scheduler/src/model.ts
+++ b/packages/scheduler/src/model.ts
@@ -32,6 +32,13 @@
   memoryGb: a.memoryGb - b.memoryGb,
 });
 
+/** The smaller of each kind. */
+export const least = (a: Resources, b: Resources): Resources => ({
+  cpus: Math.min(a.cpus, b.cpus),
+  gpus: Math.min(a.gpus, b.gpus),
+  memoryGb: Math.min(a.memoryGb, b.memoryGb),
+});
+
 export const NOTHING: Resources = { cpus: 0, gpus: 0, memoryGb: 0 };
 
 /** How many tasks of this size fit into a room. */
--- a/packages/scheduler/src/order.ts
+++ b/packages/scheduler/src/order.ts
@@ -12,14 +12,20 @@
   due: Instant;
   /** True while the job's team is below its guarantee. */
   guaranteed: boolean;
+  /** Nothing of it has begun for too long. */
+  starving: boolean;
 }
 
 /**
- * Guaranteed work first, so that what was reclaimed for it is not taken by
- * others; then priority, the aim that is due first, the oldest. In overload
- * work that has missed its aims waits for work that can still meet them.
+ * A job of which nothing has begun for long goes first, whatever it is: under
+ * steady load of higher work it would never begin. Then guaranteed work, so that
+ * what was reclaimed for it is not taken by others; then priority, the aim that is
+ * due first, the oldest. In overload work that has missed its aims waits for work
+ * that can still meet them.
  */
 export function compareJobs(a: Ranked, b: Ranked): number {
+  if (a.starving !== b.starving) return a.starving ? -1 : 1;
+  if (a.starving) return a.submitted - b.submitted;
   if (a.guaranteed !== b.guaranteed) return a.guaranteed ? -1 : 1;
   const byRank = rank(b.spec) - rank(a.spec);
   if (byRank !== 0) return byRank;
--- a/packages/testing/src/world.ts
+++ b/packages/testing/src/world.ts
@@ -4,6 +4,7 @@
   packBody,
   parseOperatorSettings,
   parseSubmission,
+  type JobCount,
   type JobSpec,
   type Settings,
 } from '@tealdock/wire';
@@ -224,6 +225,7 @@
   private carryOut(node: Node, effect: Effect): void {
     if (effect.kind === 'reply') this.reply(node, effect.id, effect.reply);
     else if (effect.kind === 'beat') this.beat(node, effect);
+    else if (effect.kind === 'counts') this.counts(node, effect.jobs);
     else {
       const done = (result: CallResult) =>
         this.at(HALF_TRIP, () => this.push(node, { kind: 'result', id: effect.id, result }));
@@ -246,6 +248,14 @@
     }
   }
 
+  private counts(node: Node, jobs: JobCount[]): void {
+    for (const other of this.alive.values()) {
+      if (other !== node && !this.cut(node.name, other.name)) {
+        this.push(other, { kind: 'counts', jobs });
+      }
+    }
+  }
+
   cut(from: string, to: string): boolean {
     return this.cuts.has(from) || this.cuts.has(to) || this.cuts.has(`${from}>${to}`);
   }
--- a/packages/wire/src/peers.ts
+++ b/packages/wire/src/peers.ts
@@ -1,8 +1,16 @@
 import avsc from 'avsc';
 
+/** Tasks of a live job that are done and that run, for display. */
+export interface JobCount {
+  id: string;
+  done: number;
+  running: number;
+}
+
 /** What controllers tell each other; see docs/design.md, "Between controllers". */
 export type PeerMessage =
   | { kind: 'beat'; member: string; leader: string; token: number; stateOk: boolean }
+  | { kind: 'counts'; jobs: JobCount[] }
   | { kind: 'ask'; id: number; method: string; path: string; body: Buffer }
   | { kind: 'answer'; id: number; status: number; body: Buffer };
 
@@ -16,6 +24,27 @@
     { name: 'stateOk', type: 'boolean' },
   ],
 });
+const counts = avsc.Type.forSchema({
+  type: 'record',
+  name: 'Counts',
+  fields: [
+    {
+      name: 'jobs',
+      type: {
+        type: 'array',
+        items: {
+          type: 'record',
+          name: 'JobCount',
+          fields: [
+            { name: 'id', type: 'string' },
+            { name: 'done', type: 'int' },
+            { name: 'running', type: 'int' },
+          ],
+        },
+      },
+    },
+  ],
+});
 const ask = avsc.Type.forSchema({
   type: 'record',
   name: 'Ask',
@@ -35,8 +64,8 @@
     { name: 'body', type: 'bytes' },
   ],
 });
-const TYPES = { beat, ask, answer } as const;
-const KINDS = ['beat', 'ask', 'answer'] as const;
+const TYPES = { beat, ask, answer, counts } as const;
+const KINDS = ['beat', 'ask', 'answer', 'counts'] as const;
 const HEADER_BYTES = 5;
 export const MAX_PEER_FRAME = 256 * 1024;
 
