--- a/packages/controller/src/fleet-keeper.ts
+++ b/packages/controller/src/fleet-keeper.ts
@@ -215,7 +215,8 @@
     return jobs.map(({ job, latest }) => {
       const team = this.rt.settings.teams.find((t) => t.name === job.spec.team);
       const room =
-        rest.get(job.spec.team) ?? (team?.cpusMax ?? 0) - this.term.ledger.teamUse(job.spec.team).cpus;
+        rest.get(job.spec.team) ??
+        (team?.cpusMax ?? 0) - this.term.ledger.teamUse(job.spec.team).cpus;
       const most = job.spec.cpus > 0 ? Math.floor(room / job.spec.cpus) : job.waiting;
       const tasks = Math.max(0, Math.min(job.waiting, most));
       rest.set(job.spec.team, room - tasks * job.spec.cpus);
--- a/packages/controller/src/keys.ts
+++ b/packages/controller/src/keys.ts
@@ -37,7 +37,13 @@
   spec: JobSpec;
 }
 /** A machine in the roster: type, zone, spot, returning, and since when it is known, in s. */
-export type RosterEntry = [type: string, zone: string, spot: 0 | 1, returning: 0 | 1, since: number];
+export type RosterEntry = [
+  type: string,
+  zone: string,
+  spot: 0 | 1,
+  returning: 0 | 1,
+  since: number,
+];
 
 /** Job id and rest of a key below the live prefix. */
 export function splitLiveKey(key: string): { job: string; rest: string } | null {
--- a/packages/controller/src/machine.ts
+++ b/packages/controller/src/machine.ts
@@ -27,6 +27,8 @@
   runningSince: Instant | null;
   /** Changed through the term only, since sums depend on it. */
   stop: StopWish | null;
+  /** The first of a job that waited for too long: it is not stopped for others. */
+  sheltered: boolean;
   /** Null where the job is not known any more. */
   readonly image: string | null;
   /** Not one that this term wants to run: it is only counted until it is gone. */
--- a/packages/controller/src/placer.ts
+++ b/packages/controller/src/placer.ts
@@ -28,6 +28,8 @@
 const RECLAIM_PATIENCE = 60_000;
 /** A job of which nothing has begun for this long goes before all others. */
 const STARVING = 120_000;
+/** So many of its tasks; the others take their turn. */
+const FIRST_TASKS = 8;
 /** A pass that books more goes on in the next one: reports are answered in between. */
 const MOST_BOOKINGS = 300;
 /** Plans to make room look at every task of every machine. */
@@ -100,16 +102,20 @@
 
   private rankOf(job: LiveJob, inside: Set<string>): Ranked {
     const ratio = this.term.ratios.get(job.spec.jobClass) ?? 1;
-    const begun = job.doneCount > 0 || job.bound.size > 0;
     return {
       spec: job.spec,
       submitted: job.submitted,
       due: nextDue(job, ratio, inside.has(job.id), this.rt.settings, this.rt.now),
       guaranteed: this.belowGuarantee(job),
-      starving: !begun && this.rt.now - job.submitted > STARVING,
+      starving: this.starves(job),
     };
   }
 
+  private starves(job: LiveJob): boolean {
+    const begun = job.doneCount > 0 || job.bound.size > 0;
+    return !begun && this.rt.now - job.submitted > STARVING;
+  }
+
   private belowGuarantee(job: LiveJob): boolean {
     const team = this.rt.settings.teams.find((t) => t.name === job.spec.team);
     if (!team) return false;
@@ -134,7 +140,8 @@
   }
 
   private placeJob(job: LiveJob, pass: Pass): void {
-    const waiting = [...job.open.values()].filter((task) => this.windowCloses(task));
+    const closed = [...job.open.values()].filter((task) => this.windowCloses(task));
+    const waiting = this.starves(job) ? closed.slice(0, FIRST_TASKS) : closed;
     const demand = demandOf(job);
     if (pass.full.has(demand)) return this.noFit(job, waiting, pass, null);
     const zones = this.term.ledger.zonesOf(job.id);
@@ -154,6 +161,7 @@
     demand: string,
   ): void {
     const rules = { priceOf: this.priceOf, gathers: this.gathers() };
+    const sheltered = this.starves(job);
     let desks = allowed;
     let volunteers = new Volunteers(job, desks, rules);
     for (const [at, task] of waiting.entries()) {
@@ -164,7 +172,7 @@
         return this.noFit(job, waiting.slice(at), pass, desks);
       }
       if (this.waitsForHolder(job, chosen, desks, pass)) continue;
-      this.term.book(job, task.index, chosen.machine);
+      this.term.book(job, task.index, chosen.machine, sheltered);
       pass.bookings++;
       job.starvedSince = null;
       volunteers.booked(chosen);
--- a/packages/controller/src/requests.ts
+++ b/packages/controller/src/requests.ts
@@ -12,13 +12,7 @@
 } from '@tealdock/wire';
 import { whyNever } from '@tealdock/scheduler';
 import type { Catalog } from './catalog.js';
-import {
-  endedKey,
-  readLive,
-  specKey,
-  type EndedValue,
-  type LiveValue,
-} from './keys.js';
+import { endedKey, readLive, specKey, type EndedValue, type LiveValue } from './keys.js';
 import { LiveProofs } from './live-proofs.js';
 import type { JobCounts, Peers } from './peers.js';
 import { PRIORITY, type Command, type Reply } from './ports.js';
--- a/packages/controller/src/room-maker.ts
+++ b/packages/controller/src/room-maker.ts
@@ -99,7 +99,7 @@
    */
   private mayStop(b: Binding, guaranteed: boolean): boolean {
     const other = this.term.jobs.get(b.job);
-    if (!other || b.stop || b.phase !== 'seen') return false;
+    if (!other || b.stop || b.sheltered || b.phase !== 'seen') return false;
     const lower = rank(other.spec) < rank(this.job.spec);
     if (other.spec.team === this.job.spec.team) return lower;
     return this.borrows(other) ? lower || guaranteed : lower && guaranteed;
--- a/packages/controller/src/runtime.ts
+++ b/packages/controller/src/runtime.ts
@@ -26,10 +26,7 @@
   today = new Date(0);
   private effects: Effect[] = [];
   private readonly waiting = new Map<number, (result: CallResult) => void>();
-  private readonly timers = new TinyQueue<Timer>(
-    [],
-    (a, b) => a.due - b.due || a.order - b.order,
-  );
+  private readonly timers = new TinyQueue<Timer>([], (a, b) => a.due - b.due || a.order - b.order);
   private lastId = 0;
   private lastTimer = 0;
 
--- a/packages/controller/src/state-store.ts
+++ b/packages/controller/src/state-store.ts
@@ -35,7 +35,8 @@
   | { kind: 'unknown' };
 
 /** Whether keys have the versions that they were compared with. */
-export type Compared = { kind: 'equal' } | { kind: 'changed'; failed: string[] } | { kind: 'unsure' };
+export type Compared =
+  { kind: 'equal' } | { kind: 'changed'; failed: string[] } | { kind: 'unsure' };
 
 export type Watched =
   | { kind: 'events'; revision: number; events: StateEvent[] }
--- a/packages/controller/src/term.ts
+++ b/packages/controller/src/term.ts
@@ -448,6 +448,7 @@
       state: null,
       runningSince: null,
       stop: wanted ? null : { grace: 0, reason: 'not wanted' },
+      sheltered: false,
       foreign: !wanted,
     };
     this.bind(m, b);
@@ -570,7 +571,7 @@
 
   // --- bindings --------------------------------------------------------------
 
-  book(job: LiveJob, index: number, m: Machine): void {
+  book(job: LiveJob, index: number, m: Machine, sheltered = false): void {
     const count = job.nextAttempt(index);
     if (count >= ATTEMPTS_A_TERM) return this.leadership.resign('attempt numbers used up');
     const b: Binding = {
@@ -589,6 +590,7 @@
       state: null,
       runningSince: null,
       stop: null,
+      sheltered,
       foreign: false,
     };
     this.bind(m, b);
--- a/packages/testing/src/fake-cloud.ts
+++ b/packages/testing/src/fake-cloud.ts
@@ -28,6 +28,7 @@
 export class FakeCloud {
   readonly machines = new Map<string, CloudMachine>();
   readonly rented: string[] = [];
+  rentCalls = 0;
   down = false;
   private readonly answered = new Map<string, string[]>();
   private last = 0;
@@ -60,6 +61,7 @@
   }
 
   private rent(r: Rental): CallResult {
+    this.rentCalls++;
     const known = this.answered.get(r.rental);
     if (known) return answer(200, { hosts: known });
     const room = this.capacity - this.machines.size;
--- a/packages/testing/src/fake-worker.ts
+++ b/packages/testing/src/fake-worker.ts
@@ -89,6 +89,12 @@
     this.next = Math.min(this.next, this.host.now() + 500);
   }
 
+  /** The machine goes down and is back at once: its tasks are gone, its session advances. */
+  reboot(): void {
+    this.flight = null;
+    this.newSession(this.host.now());
+  }
+
   private newSession(now: number): void {
     for (const t of this.tasks) {
       if (t.status === 'running') this.host.ended(t.piece, this.machine.id, 'lease');
--- a/packages/testing/src/faults.test.ts
+++ b/packages/testing/src/faults.test.ts
@@ -56,7 +56,50 @@
   if (id) world.cloud.take(id);
 }
 
-const FAULTS = [crash, crash, hang, hangWorker, cut, cut, outage, losses, take];
+function deafen(world: World): void {
+  const id = pick(world, [...world.workers.keys()]);
+  if (!id) return;
+  world.deafen(id);
+  world.at(world.random() * 40_000, () => world.undeafen(id));
+}
+
+function copies(world: World): void {
+  world.copyDelay = () => (world.random() < 0.3 ? 100 + world.random() * 60_000 : null);
+  world.at(world.random() * 20_000, () => (world.copyDelay = null));
+}
+
+function isolate(world: World): void {
+  world.isolate(pick(world, world.nodes)!);
+  world.at(world.random() * 30_000, () => world.cuts.clear());
+}
+
+function reboot(world: World): void {
+  pick(world, [...world.workers.values()])?.reboot();
+}
+
+function blink(world: World): void {
+  const name = pick(world, world.nodes)!;
+  if (!world.alive.has(name)) return;
+  world.crash(name);
+  world.at(50 + world.random() * 500, () => world.boot(name));
+}
+
+const FAULTS = [
+  crash,
+  crash,
+  hang,
+  hangWorker,
+  cut,
+  cut,
+  outage,
+  losses,
+  take,
+  deafen,
+  copies,
+  isolate,
+  reboot,
+  blink,
+];
 
 function user(world: World, number: number): void {
   const node = () => pick(world, [...world.alive.keys()]);
--- a/packages/testing/src/rule-checker.ts
+++ b/packages/testing/src/rule-checker.ts
@@ -16,6 +16,7 @@
   readonly broken: string[] = [];
   starts = 0;
   private readonly jobs = new Map<string, Seen>();
+  private readonly most = new Map<string, number>();
   private readonly running = new Map<string, Set<string>>();
 
   constructor(
@@ -68,6 +69,15 @@
     return this.jobs.get(id)?.final ?? null;
   }
 
+  doneTasks(id: string): ReadonlySet<string> {
+    return this.jobs.get(id)?.doneTasks ?? new Set();
+  }
+
+  /** The most CPUs that a team used at any start. */
+  mostUsed(team: string): number {
+    return this.most.get(team) ?? 0;
+  }
+
   private toldState(id: string, job: Seen, state: string): void {
     if (state === 'done' && job.doneTasks.size < job.spec.taskCount) this.break('not_done', id);
     if (state !== 'done' && state !== 'aborted') return;
@@ -113,6 +123,7 @@
       if (spec) used.set(spec.team, (used.get(spec.team) ?? 0) + spec.cpus * on.size);
     }
     for (const [team, cpus] of used) {
+      this.most.set(team, Math.max(this.most.get(team) ?? 0, cpus));
       if (cpus > (this.cpuLimits.get(team) ?? 0)) this.break('quota', `${team} ${cpus}`);
     }
   }
--- /dev/null
+++ b/packages/testing/src/scale.test.ts
@@ -0,0 +1,120 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import type { Call } from '@tealdock/controller';
+import { choose, dominates, firstOfFront, type Volunteer } from '@tealdock/scheduler';
+import { World, job } from './index.js';
+import { A, keepsRules, running, settled } from './story.js';
+
+/** Notes every call to the state service. */
+function recordCalls(world: World): Call[] {
+  const calls: Call[] = [];
+  world.stateFault = (_node, call) => void calls.push(call);
+  return calls;
+}
+
+const sumWrites = (calls: Call[]): number => calls.reduce((n, c) => n + c.writes, 0);
+
+// One change for each machine took most of a minute of the state service's changes.
+test('a thousand machines join with few changes of the state service', () => {
+  const world = settled({}, 1);
+  const calls = recordCalls(world);
+  for (let i = 0; i < 1000; i++) world.cloud.add(i % 2 ? 'a' : 'b');
+  world.run(15_000);
+  const enrolled = [...world.state.keys]
+    .filter(([key]) => key.includes('/roster/'))
+    .flatMap(([, e]) => Object.keys((e.v as { entries: object }).entries));
+  assert.equal(enrolled.length, 1001);
+  assert.ok(sumWrites(calls) < 120, `${sumWrites(calls)} changes`);
+});
+
+test('the roster of a thousand machines outlives its leader, and none is written twice', () => {
+  const world = settled({ cpuLimit: 10_000 }, 300);
+  world.submit(job(1, { batch: 900, expected_s: 40 }), 'n-0');
+  assert.ok(world.runUntil(() => running(world) === 900, 30_000));
+  world.crash(world.leader()!);
+  world.run(60_000);
+  keepsRules(world);
+  assert.ok(world.checker.starts >= 900);
+  assert.ok(world.checker.starts < 930, `${world.checker.starts} starts of 900 tasks`);
+});
+
+// A poll each needed a read or two of the few hundred a second.
+test('a hundred polls share a few requests to the state service', () => {
+  const world = settled({ capacity: 2 }, 2);
+  const ids = Array.from({ length: 100 }, (_, i) => `run-${String(i + 1).padStart(6, '0')}`);
+  for (let i = 1; i <= 100; i++) world.submit(job(i, { expected_s: 500 }), 'n-0');
+  world.run(5000);
+  const calls = recordCalls(world);
+  let answered = 0;
+  for (const id of ids) world.poll(id, 'n-0', (r) => (answered += r?.status === 200 ? 1 : 0));
+  world.run(500);
+  assert.equal(answered, 100);
+  const asked = calls.filter((c) => c.priority === 1).length;
+  assert.ok(asked <= 10, `${asked} requests`);
+  keepsRules(world);
+});
+
+test('hundreds of machines are rented with few calls', () => {
+  const world = new World({ capacity: 400, cpuLimit: 5000 });
+  world.run(5000);
+  world.submit(job(1, { batch: 1200, spare: true, expected_s: 60 }), 'n-0');
+  assert.ok(world.runUntil(() => world.cloud.rented.length >= 300, 10_000));
+  assert.ok(world.cloud.rentCalls <= 16, `${world.cloud.rentCalls} calls`);
+  assert.ok(world.runUntil(() => running(world) === 1200, 40_000));
+  keepsRules(world);
+});
+
+function plainChoice(volunteers: Volunteer[]): Volunteer | undefined {
+  const best = Math.min(...volunteers.map((v) => v.imageRank));
+  const able = volunteers.filter((v) => v.imageRank === best);
+  return able.find((v) => !able.some((other) => dominates(other, v)));
+}
+
+function drawVolunteers(seed: number, count: number): Volunteer[] {
+  const generator = xoroshiro128plus(seed);
+  const draw = (steps: number) => Math.floor(uniformFloat64(generator) * steps);
+  return Array.from({ length: count }, () => ({
+    load: draw(9) / 8,
+    price: draw(4) / 10,
+    recent: draw(1000),
+    imageRank: draw(4),
+  }));
+}
+
+test('the quick way to the first point of the front comes to the same as the plain one', () => {
+  for (let seed = 1; seed <= 300; seed++) {
+    const volunteers = drawVolunteers(seed, 1 + (seed % 60));
+    assert.equal(choose(volunteers), plainChoice(volunteers), `seed ${seed}`);
+  }
+});
+
+test('choosing among a thousand volunteers compares few of them with each other', () => {
+  let reads = 0;
+  const volunteers = drawVolunteers(7, 1000).map((v) => ({
+    ...v,
+    get load() {
+      reads++;
+      return v.load;
+    },
+  }));
+  assert.ok(firstOfFront(volunteers));
+  assert.ok(reads < 30 * 1000, `${reads} looks at a load`);
+});
+
+test('sums kept as bindings change agree with bindings added up', () => {
+  const world = settled({ capacity: 6, cpuLimit: 12, guarantee: 4, runTime: 6000 }, 4);
+  for (let i = 1; i <= 12; i++) {
+    const owner = i % 2 ? 'team' : 'other';
+    const urgency = ['urgent', 'normal', 'idle'][i % 3];
+    world.at(i * 3000, () => world.submit(job(i, { owner, urgency, batch: 9 }), 'n-0'));
+  }
+  world.at(15_000, () => world.crash(world.leader()!));
+  world.run(120_000);
+  // The checker adds up what runs at every start and compares it with the limit.
+  keepsRules(world);
+  assert.ok(world.checker.starts > 60);
+  assert.ok(world.checker.mostUsed('team') > 11, 'the limit is used, so nothing leaks');
+  assert.equal(world.jobs.has(A), true);
+});
--- a/packages/testing/src/stories.test.ts
+++ b/packages/testing/src/stories.test.ts
@@ -1,50 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { Reply } from '@tealdock/controller';
 import { packBody } from '@tealdock/wire';
-import { World, job, type WorldOptions } from './index.js';
-
-const A = 'run-000001';
-
-/** A world with machines up and a leader that knows them. */
-function settled(options: WorldOptions = {}, machines = 2): World {
-  const world = new World(options);
-  for (let i = 0; i < machines; i++) world.cloud.add(i % 2 === 0 ? 'a' : 'b');
-  world.run(8000);
-  assert.ok(world.leader(), 'somebody leads');
-  return world;
-}
-
-function others(world: World): string[] {
-  return world.nodes.filter((n) => n !== world.leader());
-}
-
-function ask(world: World, send: (done: (r: Reply | null) => void) => void): Reply | null {
-  let answer: Reply | null = null;
-  send((r) => (answer = r));
-  world.run(5000);
-  return answer;
-}
-
-function running(world: World): number {
-  return [...world.workers.values()].flatMap((w) => w.tasks).filter((t) => t.status === 'running')
-    .length;
-}
-
-const status = (r: Reply | null): unknown => (r?.body as { status?: string } | null)?.status;
-
-function finished(world: World, id: string, limit = 120_000): boolean {
-  const node = () => [...world.alive.keys()].at(-1)!;
-  const done = () => {
-    world.poll(id, node());
-    return world.checker.final(id) === 'done';
-  };
-  return world.runUntil(done, limit);
-}
-
-function keepsRules(world: World): void {
-  assert.deepEqual(world.checker.broken, []);
-}
+import { job, World } from './index.js';
+import { A, ask, finished, keepsRules, others, running, settled, status } from './story.js';
 
 test('a job is accepted, runs, is done and stays known', () => {
   const world = settled();
@@ -421,7 +379,10 @@
   const world = settled({ runTime: 200, capacity: 2 }, 2);
   world.submit(job(1, { batch: 9000, cpus: 0.01, mem_gb: 0.01 }), 'n-0');
   const stored = () =>
-    [...world.state.keys].reduce((n, [k, e]) => n + (k.includes('/progress/') ? doneIn(e.v) : 0), 0);
+    [...world.state.keys].reduce(
+      (n, [k, e]) => n + (k.includes('/progress/') ? doneIn(e.v) : 0),
+      0,
+    );
   assert.ok(world.runUntil(() => stored() > 100, 60_000));
   const before = stored();
   world.crash(world.leader()!);
--- a/packages/testing/src/world.ts
+++ b/packages/testing/src/world.ts
@@ -109,6 +109,8 @@
   stateFault: ((node: string, call: Call) => 'lost_after' | 'lost_before' | undefined) | null =
     null;
   readonly jobs = new Map<string, JobSpec>();
+  /** After what time a copy of a report arrives once more, if at all; nobody gets its answer. */
+  copyDelay: (() => number | null) | null = null;
   private clock = 0;
   private events: Event[] = [];
   private order = 0;
@@ -300,6 +302,11 @@
   carry(worker: FakeWorker, node: string, body: unknown, done: (r: CallResult) => void): void {
     const id = worker.machine.id;
     if (this.cut(id, node)) return;
+    const delay = this.copyDelay?.() ?? null;
+    if (delay !== null) {
+      const copy = packBody(body);
+      this.at(delay, () => this.ask(node, 'public', 'POST', '/hello', copy, () => undefined));
+    }
     this.at(HALF_TRIP, () =>
       this.ask(node, 'public', 'POST', '/hello', packBody(body), (reply) => {
         if (!reply || this.cut(node, id)) return;
@@ -308,6 +315,25 @@
     );
   }
 
+  /** Takes a node's way to the state service and to its peers, but not to workers and users. */
+  isolate(name: string): void {
+    this.cuts.add(`${name}>state`);
+    for (const peer of NODES) {
+      if (peer === name) continue;
+      this.cuts.add(`${name}>${peer}`);
+      this.cuts.add(`${peer}>${name}`);
+    }
+  }
+
+  /** Reports of a machine arrive, but no answer reaches it. */
+  deafen(machine: string): void {
+    for (const n of NODES) this.cuts.add(`${n}>${machine}`);
+  }
+
+  undeafen(machine: string): void {
+    for (const n of NODES) this.cuts.delete(`${n}>${machine}`);
+  }
+
   runTime(piece: string): number | null {
     const spec = this.jobs.get(piece.split('/')[0]!);
     return spec ? (this.options.runTime ?? spec.estimate) : null;
