--- a/packages/adapters/src/service.ts
+++ b/packages/adapters/src/service.ts
@@ -1,6 +1,7 @@
 import type { OperatorSettings, Settings } from '@tealdock/wire';
 import {
   Controller,
+  type Stats,
   type Call,
   type CallResult,
   type Command,
@@ -26,6 +27,7 @@
   operator: OperatorSettings;
   random: Random;
   log: Log;
+  stats: Stats;
 }
 
 /** A running node: adapters around the one owner of state. */
@@ -100,8 +102,11 @@
     this.scheduled = false;
     const batch = this.queue;
     this.queue = [];
-    const effects = this.controller.process(batch, performance.now(), new Date());
+    const began = performance.now();
+    const effects = this.controller.process(batch, began, new Date());
     for (const effect of effects) this.carryOut(effect);
+    this.parts.stats.record('batches.commands', batch.length);
+    this.parts.stats.record('batches.took_ms', performance.now() - began);
     this.plan();
   }
 
@@ -124,13 +129,20 @@
 
   private call(id: number, call: Call): void {
     const done = (result: CallResult) => this.push({ kind: 'result', id, result });
-    const drop = () => done({ kind: 'unsent' });
+    const drop = () => {
+      this.parts.stats.count(`calls.${call.target}.dropped`);
+      done({ kind: 'unsent' });
+    };
     const patience = call.timeout * WAIT_PART;
+    const asked = performance.now();
     const take = (b: TokenBucket, cost: number, run: () => void) =>
       b.take(cost, call.priority, patience, run, drop);
     const { settings } = this.parts;
     if (call.target === 'state') {
-      const send = () => this.send(this.stateHttp, settings.stateAddr, call, done);
+      const send = () => {
+        this.parts.stats.record('calls.state.waited_ms', performance.now() - asked);
+        this.send(this.stateHttp, settings.stateAddr, call, done);
+      };
       take(this.stateWrites, call.writes, () => take(this.stateCalls, 1, send));
     } else if (call.target === 'cloud') {
       take(this.cloudCalls, 1, () => this.send(this.cloudHttp, settings.cloudAddr, call, done));
@@ -145,17 +157,18 @@
   ): void {
     const { method, path, body, timeout } = call;
     client.send({ ...splitAddress(address), method, path, body, timeout }, (result) => {
-      this.logFailure(call, result);
+      this.noteOutcome(call, result);
       done(result);
     });
   }
 
-  private logFailure(call: Call, result: CallResult): void {
+  private noteOutcome(call: Call, result: CallResult): void {
+    const outcome = result.kind === 'answer' ? result.status : result.kind;
+    this.parts.stats.count(`calls.${call.target}.${outcome}`);
     const fine = result.kind === 'answer' && result.status < 500 && result.status !== 429;
     if (fine) return;
     const { target, method, path } = call;
-    const status = result.kind === 'answer' ? result.status : result.kind;
-    this.parts.log('debug', { target, method, path, status }, 'call failed');
+    this.parts.log('debug', { target, method, path, status: outcome }, 'call failed');
   }
 }
 
--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -2,7 +2,7 @@
 import { Command, Option } from 'commander';
 import { WireError, parseOperatorSettings, parseSettings } from '@tealdock/wire';
 import type { OperatorSettings, Settings } from '@tealdock/wire';
-import { cancelJob, jobStatus, submitJob } from './client.js';
+import { cancelJob, jobStatus, nodeStats, submitJob } from './client.js';
 import { serve } from './serve.js';
 
 const VERSION = '0.1.0';
@@ -76,6 +76,9 @@
     .description('show the state of a job')
     .argument('<job>')
     .action((job: string, options: { node: string }) => jobStatus(options.node, job, fail));
+  withNode(program.command('stats'))
+    .description("show one controller's counters and histograms")
+    .action((options: { node: string }) => nodeStats(options.node, fail));
   withNode(program.command('cancel'))
     .description('cancel a job')
     .argument('<job>')
--- a/packages/cli/src/client.ts
+++ b/packages/cli/src/client.ts
@@ -45,6 +45,14 @@
   show(await send(node, 'POST', JOBS_PATH, job), node, fail);
 }
 
+/** Counters and histograms of one controller, as indented JSON. */
+export async function nodeStats(node: string, fail: Fail): Promise<void> {
+  const answer = await send(node, 'GET', '/metrics', null);
+  if (answer?.status !== 200) return fail(`no answer from ${node}; ask again`, 1);
+  process.stdout.write(`${JSON.stringify(answer.body, null, 2)}\n`);
+  process.exit(0);
+}
+
 export async function jobStatus(node: string, job: string, fail: Fail): Promise<void> {
   show(await send(node, 'GET', `${JOBS_PATH}/${encodeURIComponent(job)}`, null), node, fail);
 }
--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -23,6 +23,7 @@
 import { Term } from './term.js';
 
 const HEALTH_PATH = '/healthz';
+const STATS_PATH = '/metrics';
 /** A new node is healthy once it can judge submissions, or after this long anyway. */
 const START_PATIENCE = 6000;
 const CHECK_EVERY = 1000;
@@ -164,6 +165,7 @@
   private route(request: Request): void {
     if (request.path === HEALTH_PATH) return this.health(request);
     if (request.path === REPORT_PATH) return this.hello(request);
+    if (request.path === STATS_PATH) return this.tellStats(request);
     if (this.requests.handle(request)) return;
     this.rt.reply(request.id, { status: 404, body: { error: 'no such path' } });
   }
@@ -178,6 +180,11 @@
     this.rt.reply(request.id, { status: healthy ? 200 : 503, body: { healthy } });
   }
 
+  private tellStats(request: Request): void {
+    if (request.method !== 'GET') return this.notAllowed(request, 'GET');
+    this.rt.reply(request.id, { status: 200, body: this.rt.stats.view() });
+  }
+
   /**
    * In an outage common to all, nodes stay healthy: removals would only double
    * the load balancer's pause. A node cut off from everything says so.
@@ -201,9 +208,11 @@
     const held = this.leadership.held();
     if (!held || !this.term) return this.redirect(request);
     const { counted, orders } = this.term.report(report);
+    this.rt.stats.count(counted ? 'reports.counted' : 'reports.ignored');
     // Only a newer report shows that the one before was given up; a late copy does not.
     if (counted) this.held?.drop(report.machine, held);
     const hold = counted && orders.length === 0 ? this.holdFor(report) : 0;
+    if (hold > 0) this.rt.stats.count('reports.held');
     if (hold > 0) return this.held?.hold(report.machine, request.id, hold);
     this.rt.reply(request.id, {
       status: 200,
@@ -219,6 +228,7 @@
 
   /** Names the leader only while it seems to live, so that workers lose no time on it. */
   private redirect(request: Request): void {
+    this.rt.stats.count('reports.redirected');
     const leader = this.leadership.leader;
     const known = leader !== null && this.peers.alive(leader);
     this.rt.reply(request.id, { status: 421, body: renderRedirect(known ? leader : null) });
--- a/packages/controller/src/index.ts
+++ b/packages/controller/src/index.ts
@@ -1,3 +1,4 @@
 export * from './ports.js';
 export * from './controller.js';
+export * from './stats.js';
 export type { Environment } from './runtime.js';
--- a/packages/controller/src/placer.ts
+++ b/packages/controller/src/placer.ts
@@ -83,9 +83,16 @@
     this.unaccounted = this.sumUnaccounted();
     const pass: Pass = { desks: this.desks(), full: new Set(), bookings: 0, roomPlans: 0 };
     for (const job of jobs) {
-      if (pass.bookings >= MOST_BOOKINGS) return;
-      this.placeJob(job, pass);
+      if (pass.bookings < MOST_BOOKINGS) this.placeJob(job, pass);
     }
+    this.notePass(pass, jobs.length);
+  }
+
+  private notePass(pass: Pass, waiting: number): void {
+    this.rt.stats.count('passes');
+    this.rt.stats.count('passes.bookings', pass.bookings);
+    this.rt.stats.count('passes.room_plans', pass.roomPlans);
+    this.rt.stats.record('passes.waiting_jobs', waiting);
   }
 
   private waitingJobs(): LiveJob[] {
--- a/packages/controller/src/runtime.ts
+++ b/packages/controller/src/runtime.ts
@@ -1,6 +1,7 @@
 import TinyQueue from 'tinyqueue';
 import type { Duration, Instant, JobCount, OperatorSettings, Settings } from '@tealdock/wire';
 import type { Call, CallResult, Effect, Log, Random, Reply } from './ports.js';
+import type { Stats } from './stats.js';
 
 interface Timer {
   due: Instant;
@@ -14,6 +15,7 @@
   operator: OperatorSettings;
   random: Random;
   log: Log;
+  stats: Stats;
 }
 
 /**
@@ -36,6 +38,10 @@
     return this.env.settings;
   }
 
+  get stats(): Stats {
+    return this.env.stats;
+  }
+
   get operator(): OperatorSettings {
     return this.env.operator;
   }
--- a/packages/controller/src/term.ts
+++ b/packages/controller/src/term.ts
@@ -79,6 +79,7 @@
   readonly stirred = new Set<string>();
   /** Less than this is asked for by no task of a live job. */
   private smallest: Resources = NOTHING;
+  private wasReady = false;
   private readonly gone = new Set<string>();
   private readonly early = new Map<string, WorkerReport>();
   private readonly lookups = new Map<string, Binding[]>();
@@ -176,6 +177,7 @@
 
   private finishLoad(revision: number): void {
     this.loaded = true;
+    this.rt.stats.record('takeover.load_ms', this.rt.now - this.acquired);
     this.rt.env.log(
       'info',
       { token: this.token, jobs: this.jobs.size, machines: this.machines.size },
@@ -377,6 +379,9 @@
     if (b.image !== null) m.noteImage(b.image);
     if (b.runningSince !== null) return;
     b.runningSince = this.rt.now;
+    if (b.phase === 'seen' && b.sentSeq > 0) {
+      this.rt.stats.record('starts.booked_to_running_ms', this.rt.now - b.bookedAt);
+    }
     this.rt.env.log('debug', { task: b.task, machine: m.id }, 'task runs');
   }
 
@@ -545,6 +550,7 @@
       b.sentSession = m.session;
       b.sentSeq = m.seq;
       orders.push({ op: 'start', task: b.task, attempt: b.attempt });
+      this.rt.stats.record('starts.booked_to_sent_ms', this.rt.now - b.bookedAt);
       this.rt.env.log('debug', { task: b.task, attempt: b.attempt, machine: m.id }, 'start sent');
     }
     return orders;
@@ -625,6 +631,7 @@
       { task: b.task, attempt: b.attempt, machine: b.machine, proof },
       'binding ended',
     );
+    this.rt.stats.count(`bindings.ended.${proof}`);
     this.unbind(b);
   }
 
@@ -638,7 +645,17 @@
 
   // --- time ------------------------------------------------------------------
 
+  /** Notes when the roster is accounted for, which is when all work may be placed. */
+  private noteReady(): void {
+    if (this.wasReady || !this.ready) return;
+    this.wasReady = true;
+    const took = this.rt.now - this.acquired;
+    this.rt.stats.record('takeover.ready_ms', took);
+    this.rt.env.log('info', { token: this.token, took: Math.round(took) }, 'roster accounted for');
+  }
+
   private sweep(): void {
+    this.noteReady();
     const needs = [...this.jobs.values()].map((job) => need(job.spec));
     this.smallest = needs.length > 0 ? needs.reduce(least) : NOTHING;
     for (const m of this.machines.values()) {
--- a/packages/testing/src/world.ts
+++ b/packages/testing/src/world.ts
@@ -10,6 +10,7 @@
 } from '@tealdock/wire';
 import {
   Controller,
+  Stats,
   type Call,
   type CallResult,
   type Command,
@@ -179,7 +180,13 @@
     const operator = parseOperatorSettings('[leadership]\nlease_s = 10\n');
     const log = (_level: string, fields: Record<string, unknown>, message: string) =>
       void this.log.push({ node: name, message, fields });
-    const controller = new Controller({ settings, operator, random: this.random, log });
+    const controller = new Controller({
+      settings,
+      operator,
+      random: this.random,
+      log,
+      stats: new Stats(),
+    });
     const life = ++this.lives;
     const node = {
       name,
