--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -29,6 +29,8 @@
 const CHECK_EVERY = 1000;
 const COUNTS_EVERY = 2000;
 const MOST_COUNTS = 4000;
+/** Workers give up after 4 s. */
+const PARK = 2500;
 /** A term is given this long to hear its first reports. */
 const DEAF_GRACE = 12_000;
 
@@ -47,6 +49,8 @@
   private readonly requests: Requests;
   private term: Term | null = null;
   private held: HeldAnswers | null = null;
+  /** Reports that wait for an election. */
+  private readonly parked = new Map<number, Request>();
   private startedAt: Instant | null = null;
 
   constructor(env: Environment) {
@@ -71,6 +75,7 @@
     if (this.startedAt === null) this.start();
     for (const command of commands) this.apply(command);
     this.rt.runDue();
+    this.unpark();
     this.held?.release();
     return this.rt.takeEffects();
   }
@@ -226,11 +231,50 @@
     return type && this.term ? this.term.holdFor(report.machine, type) : 0;
   }
 
-  /** Names the leader only while it seems to live, so that workers lose no time on it. */
+  /**
+   * Names the leader only while it seems to live, so that workers lose no time on
+   * it. While there is none, the report waits for the election for a moment: a
+   * thousand workers that go round the nodes once a second would slow it down.
+   */
   private redirect(request: Request): void {
-    this.rt.stats.count('reports.redirected');
+    const leader = this.liveLeader();
+    if (leader === null && this.mayPark()) return this.park(request);
+    this.sendOn(request.id, leader);
+  }
+
+  private liveLeader(): string | null {
     const leader = this.leadership.leader;
-    const known = leader !== null && this.peers.alive(leader);
-    this.rt.reply(request.id, { status: 421, body: renderRedirect(known ? leader : null) });
+    return leader !== null && this.peers.alive(leader) ? leader : null;
+  }
+
+  private sendOn(request: number, leader: string | null): void {
+    this.rt.stats.count('reports.redirected');
+    this.rt.reply(request, { status: 421, body: renderRedirect(leader) });
+  }
+
+  /** A node without the state service will not know of the election, nor win it. */
+  private mayPark(): boolean {
+    return !this.state.doubtful && this.parked.size < this.rt.settings.maxConnections / 2;
+  }
+
+  private park(request: Request): void {
+    this.parked.set(request.id, request);
+    this.rt.stats.count('reports.parked');
+    this.rt.after(PARK, () => {
+      if (this.parked.delete(request.id)) this.sendOn(request.id, this.liveLeader());
+    });
+  }
+
+  /** Somebody leads, or this node can't tell any more. */
+  private unpark(): void {
+    if (this.parked.size === 0) return;
+    const leads = this.leadership.held() !== null && this.term !== null;
+    if (!leads && this.liveLeader() === null && !this.state.doubtful) return;
+    const waiting = [...this.parked.values()];
+    this.parked.clear();
+    for (const request of waiting) {
+      if (leads) this.hello(request);
+      else this.sendOn(request.id, this.liveLeader());
+    }
   }
 }
--- a/packages/controller/src/desks.ts
+++ b/packages/controller/src/desks.ts
@@ -68,8 +68,7 @@
   ) {
     const wanted = need(job.spec);
     this.candidates = desks.filter((d) => fits(wanted, d.free)).map((d) => this.candidate(d));
-    // The fullest first: among equals of the front, work gathers.
-    if (rules.gathers) this.candidates.sort((a, b) => b.load - a.load);
+    if (rules.gathers) this.candidates.sort(byGathering);
   }
 
   /** Holders of the image first, then the first point of the front. */
@@ -91,7 +90,8 @@
 
   private placeFor(changed: Candidate, from: number): number {
     let at = from;
-    if (this.rules.gathers) while (at > 0 && this.candidates[at - 1]!.load < changed.load) at--;
+    if (!this.rules.gathers) return at;
+    while (at > 0 && byGathering(changed, this.candidates[at - 1]!) < 0) at--;
     return at;
   }
 
@@ -107,6 +107,9 @@
   }
 }
 
+/** What adds least to the bill first, then the fullest: work gathers and machines fall idle. */
+const byGathering = (a: Volunteer, b: Volunteer): number => a.price - b.price || b.load - a.load;
+
 function imageRank(image: string, m: Machine): number {
   if (m.images.has(image)) return 0;
   if (m.fetching.has(image)) return 1;
--- a/packages/controller/src/fleet-keeper.ts
+++ b/packages/controller/src/fleet-keeper.ts
@@ -40,8 +40,10 @@
 const LEAST_CHARGE = 60_000;
 const MOST_PLANNED = 400;
 /** After a take-over, this few silent machines, as a part of all, are given up this soon. */
-const SILENT_PATIENCE = 9000;
-const SILENT_PART = 0.15;
+const SILENT_PATIENCE = 8000;
+const SILENT_PART = 0.05;
+/** A machine that a list lacks and this term has not heard is given up after this long. */
+const NEW_TERM_PATIENCE = 1500;
 /** Boots take up to half as long again as their type says. */
 const BOOT_LEAD = 1.5;
 /** A slot is cheap up to this multiple of the cheapest. */
@@ -100,11 +102,25 @@
     return this.owned !== null && this.owned !== '' && id <= this.owned;
   }
 
-  /** What work on this machine adds to the bill: nothing where it is owned, or busy anyway. */
+  /**
+   * What work on this machine adds to the bill: nothing where it is owned, or busy
+   * anyway and cheap. A dear one shows its price also while it is busy, so that it
+   * gets no more work than there is, falls idle and goes back.
+   */
   price(m: Machine, type: MachineType): number {
     if (this.isOwned(m.id)) return 0;
-    if (this.policy() === 'frugal' && m.bindings.size > 0) return 0;
-    return m.spot ? type.spotPrice : type.price;
+    const price = m.spot ? type.spotPrice : type.price;
+    if (this.policy() === 'fast' || m.bindings.size === 0) return price;
+    return price <= this.leastRate() * type.cpus * CHEAP_ENOUGH ? 0 : price;
+  }
+
+  /** What a CPU costs an hour on the cheapest kind of machine. */
+  private leastRate(): number {
+    let least = Infinity;
+    for (const t of this.types()) {
+      if (t.cpus > 0) least = Math.min(least, t.price / t.cpus, t.spotPrice / t.cpus);
+    }
+    return least;
   }
 
   /** Whether anything can be rented at all just now. */
@@ -208,11 +224,14 @@
     const inside = guaranteedJobs(this.term.jobs.values(), this.rt.settings);
     const jobs = [...this.term.jobs.values()]
       .filter((j) => j.waiting > 0 && j.backoffUntil <= this.rt.now)
-      .map((job) => ({ job, latest: this.latest(job, inside.has(job.id)) }))
+      .map((job) => {
+        const guaranteed = inside.has(job.id);
+        return { job, guaranteed, latest: this.latest(job, guaranteed) };
+      })
       .sort((a, b) => a.latest - b.latest);
     const all = offerings(this.types(), () => false);
     const rest = new Map<string, number>();
-    return jobs.map(({ job, latest }) => {
+    return jobs.map(({ job, guaranteed }) => {
       const team = this.rt.settings.teams.find((t) => t.name === job.spec.team);
       const room =
         rest.get(job.spec.team) ??
@@ -220,7 +239,7 @@
       const most = job.spec.cpus > 0 ? Math.floor(room / job.spec.cpus) : job.waiting;
       const tasks = Math.max(0, Math.min(job.waiting, most));
       rest.set(job.spec.team, room - tasks * job.spec.cpus);
-      return { spec: job.spec, tasks, mostPrice: this.mostPrice(job, latest, all) };
+      return { spec: job.spec, tasks, mostPrice: this.mostPrice(job, guaranteed, all) };
     });
   }
 
@@ -229,14 +248,19 @@
     return latestStart(job, ratio, guaranteed, this.rt.settings);
   }
 
-  /** Dear machines are only for work that would otherwise start too late. */
-  private mostPrice(job: LiveJob, latest: Instant, all: Offering[]): number {
+  /**
+   * The dearest machines are only for work that would otherwise miss its deadline
+   * or its class's aims; for a guarantee, which is a matter of seconds, the price
+   * that the operators set is the limit.
+   */
+  private mostPrice(job: LiveJob, guaranteed: boolean, all: Offering[]): number {
     if (this.policy() === 'fast') return Infinity;
     const slowest = Math.min(...this.types().map((t) => t.fetchGbPerS));
     const boot = Math.max(...this.types().map((t) => t.boot));
     const lead = boot * BOOT_LEAD + (job.spec.imageGb / Math.max(0.01, slowest)) * 1000;
-    if (this.rt.now >= latest - lead) return Infinity;
-    return leastSlotPrice(all, job.spec) * CHEAP_ENOUGH;
+    if (this.rt.now >= this.latest(job, false) - lead) return Infinity;
+    const share = guaranteed ? this.rt.operator.fleet.guaranteePrice : CHEAP_ENOUGH;
+    return leastSlotPrice(all, job.spec) * Math.max(share, CHEAP_ENOUGH);
   }
 
   /** Where starts count more than money, room for a burst is kept beside the work at hand. */
@@ -418,8 +442,10 @@
    */
   private vanished(m: Machine): boolean {
     if (this.listAsked === null || this.listed.has(m.id)) return false;
-    const silence = this.rt.now - (m.lastHeard ?? this.term.acquired);
-    if (silence < this.rt.settings.reportEvery * 1.5) return false;
+    // A new term's machines are silent until they have found it.
+    const heard = m.lastHeard !== null;
+    const silence = this.rt.now - (heard ? m.lastHeard! : this.term.acquired);
+    if (silence < (heard ? this.rt.settings.reportEvery * 1.5 : NEW_TERM_PATIENCE)) return false;
     return this.listAsked - this.rt.settings.cloud.listLag * 2 > m.since;
   }
 
--- a/packages/controller/src/placer.ts
+++ b/packages/controller/src/placer.ts
@@ -1,4 +1,4 @@
-import type { MachineType } from '@tealdock/wire';
+import type { Duration, Instant, MachineType } from '@tealdock/wire';
 import {
   NOTHING,
   compareJobs,
@@ -30,6 +30,9 @@
 const STARVING = 120_000;
 /** So many of its tasks; the others take their turn. */
 const FIRST_TASKS = 8;
+/** Fetches run at their type's rate, give or take a third; a start takes a moment as well. */
+const FETCH_SLACK = 4 / 3;
+const START_TIME = 1000;
 /** A pass that books more goes on in the next one: reports are answered in between. */
 const MOST_BOOKINGS = 300;
 /** Plans to make room look at every task of every machine. */
@@ -53,6 +56,8 @@
 export class Placer {
   /** Coming room that this pass keeps for a team's tasks. */
   private readonly promised = new Map<string, Resources>();
+  /** Jobs within their team's guarantee. */
+  private inside: ReadonlySet<string> = new Set();
   /** Machines not accounted for may be full of any team's tasks. */
   private unaccounted: Resources = NOTHING;
 
@@ -102,17 +107,16 @@
         job.open.size > 0 && job.backoffUntil <= this.rt.now && this.term.mayPlace(job, ready),
     );
     if (waiting.length === 0) return waiting;
-    const inside = guaranteedJobs(this.term.jobs.values(), this.rt.settings);
-    const ranked = waiting.map((job) => ({ job, key: this.rankOf(job, inside) }));
+    this.inside = guaranteedJobs(this.term.jobs.values(), this.rt.settings);
+    const ranked = waiting.map((job) => ({ job, key: this.rankOf(job) }));
     return ranked.sort((a, b) => compareJobs(a.key, b.key)).map((r) => r.job);
   }
 
-  private rankOf(job: LiveJob, inside: Set<string>): Ranked {
-    const ratio = this.term.ratios.get(job.spec.jobClass) ?? 1;
+  private rankOf(job: LiveJob): Ranked {
     return {
       spec: job.spec,
       submitted: job.submitted,
-      due: nextDue(job, ratio, inside.has(job.id), this.rt.settings, this.rt.now),
+      due: this.dueOf(job, this.inside.has(job.id)),
       guaranteed: this.belowGuarantee(job),
       starving: this.starves(job),
     };
@@ -265,7 +269,13 @@
   private patience(job: LiveJob): number {
     if (rank(job.spec) >= 2) return 0;
     const boots = this.types().map((t) => t.boot);
-    return boots.length > 0 ? Math.min(...boots) : 0;
+    const boot = boots.length > 0 ? Math.min(...boots) : 0;
+    return this.dueOf(job, this.inside.has(job.id)) - this.rt.now < boot ? 0 : boot;
+  }
+
+  private dueOf(job: LiveJob, guaranteed: boolean): Instant {
+    const ratio = this.term.ratios.get(job.spec.jobClass) ?? 1;
+    return nextDue(job, ratio, guaranteed, this.rt.settings, this.rt.now);
   }
 
   private withinTeamLimit(job: LiveJob): boolean {
@@ -292,7 +302,7 @@
    */
   private waitsForHolder(job: LiveJob, chosen: Desk, desks: Desk[], pass: Pass): boolean {
     if (chosen.machine.images.has(job.spec.image)) return false;
-    const fetch = (job.spec.imageGb / Math.max(0.01, chosen.type.fetchGbPerS)) * 1000;
+    const fetch = fetchTime(job.spec.imageGb, chosen.type);
     const left = this.aimFor(job) - (this.rt.now - job.submitted);
     if (fetch < left || left < STOP_TIME) return false;
     const wanted = need(job.spec);
@@ -327,8 +337,7 @@
    * itself: a guarantee is reclaimed only when an aim would be missed otherwise.
    */
   private reclaims(job: LiveJob): boolean {
-    const ratio = this.term.ratios.get(job.spec.jobClass) ?? 1;
-    const due = nextDue(job, ratio, true, this.rt.settings, this.rt.now);
+    const due = this.dueOf(job, true);
     const starved = this.rt.now - (job.starvedSince ?? this.rt.now);
     return due - this.rt.now < RECLAIM_AHEAD || starved > RECLAIM_PATIENCE;
   }
@@ -354,3 +363,8 @@
     this.term.stop(b, { grace: job.spec.save, reason: 'notice' });
   }
 }
+
+/** Until when a task would run that has to wait for its image, at worst. */
+function fetchTime(imageGb: number, type: MachineType): Duration {
+  return (imageGb / Math.max(0.01, type.fetchGbPerS)) * 1000 * FETCH_SLACK + START_TIME;
+}
--- a/packages/controller/src/term.ts
+++ b/packages/controller/src/term.ts
@@ -655,12 +655,17 @@
   }
 
   private sweep(): void {
+    // While the lease is in doubt nothing is heard, so silence means nothing.
+    if (!this.leadership.held()) return;
     this.noteReady();
     const needs = [...this.jobs.values()].map((job) => need(job.spec));
     this.smallest = needs.length > 0 ? needs.reduce(least) : NOTHING;
+    const ranOut = [...this.machines.values()].filter((m) => this.checkLease(m)).map((m) => m.id);
+    if (ranOut.length > 0) {
+      this.rt.env.log('info', { machines: ranOut }, 'leases of silent machines ran out');
+    }
     for (const m of this.machines.values()) {
       m.accumulate(1000);
-      this.checkLease(m);
       const patience = this.rt.settings.reportEvery * BOOKING_PATIENCE;
       const silent = this.rt.now - (m.lastCounted ?? this.acquired) > patience;
       if (silent || m.returning || m.noticeUntil !== null) this.unbookAll(m);
@@ -669,17 +674,18 @@
     }
   }
 
-  /** A worker without an answer for its whole lease has killed all its tasks. */
-  private checkLease(m: Machine): void {
-    if (!this.loaded) return;
-    if (this.rt.now < this.leaseEnd(m.lastHeard ?? this.acquired)) return;
-    if (!m.resolved || m.bindings.size > 0) {
-      this.rt.env.log('info', { machine: m.id }, 'lease of a silent machine ran out');
-    }
+  /**
+   * A worker without an answer for its whole lease has killed all its tasks. True
+   * if that was the proof of anything.
+   */
+  private checkLease(m: Machine): boolean {
+    if (!this.loaded || this.rt.now < this.leaseEnd(m.lastHeard ?? this.acquired)) return false;
+    const news = !m.resolved || m.bindings.size > 0;
     this.endAll(m, 'lease ran out');
     m.resolved = true;
     // Never enrolled, so without tasks: what a late copy of a report told of.
     if (!m.inRoster && m.bindings.size === 0) this.machines.delete(m.id);
+    return news;
   }
 
   /** The roster gets a machine before the machine gets its first start. */
--- a/packages/wire/src/settings.ts
+++ b/packages/wire/src/settings.ts
@@ -145,13 +145,14 @@
     })
     .prefault({}),
   leadership: z
-    .object({ lease_s: number(7, 2, 120), resign_deaf_s: number(6, 2, 120) })
+    .object({ lease_s: number(5, 2, 120), resign_deaf_s: number(6, 2, 120) })
     .prefault({}),
   fleet: z
     .object({
       idle_return_s: number(6, 0, 86400),
       boot_patience: number(4, 1.5, 100),
       headroom: number(1, 0, 10),
+      guarantee_price: number(3, 1, 1000),
       policy: z.enum(['auto', 'frugal', 'fast']).default('auto'),
     })
     .prefault({}),
@@ -164,6 +165,7 @@
     idleReturn: number;
     bootPatience: number;
     headroom: number;
+    guaranteePrice: number;
     policy: 'auto' | 'frugal' | 'fast';
   };
 }
@@ -183,6 +185,7 @@
       idleReturn: millis(f.idle_return_s),
       bootPatience: f.boot_patience,
       headroom: f.headroom,
+      guaranteePrice: f.guarantee_price,
       policy: f.policy,
     },
   };
