--- a/packages/controller/src/fleet-keeper.ts
+++ b/packages/controller/src/fleet-keeper.ts
@@ -224,14 +224,11 @@
     const inside = guaranteedJobs(this.term.jobs.values(), this.rt.settings);
     const jobs = [...this.term.jobs.values()]
       .filter((j) => j.waiting > 0 && j.backoffUntil <= this.rt.now)
-      .map((job) => {
-        const guaranteed = inside.has(job.id);
-        return { job, guaranteed, latest: this.latest(job, guaranteed) };
-      })
+      .map((job) => ({ job, latest: this.latest(job, inside.has(job.id)) }))
       .sort((a, b) => a.latest - b.latest);
     const all = offerings(this.types(), () => false);
     const rest = new Map<string, number>();
-    return jobs.map(({ job, guaranteed }) => {
+    return jobs.map(({ job, latest }) => {
       const team = this.rt.settings.teams.find((t) => t.name === job.spec.team);
       const room =
         rest.get(job.spec.team) ??
@@ -239,7 +236,7 @@
       const most = job.spec.cpus > 0 ? Math.floor(room / job.spec.cpus) : job.waiting;
       const tasks = Math.max(0, Math.min(job.waiting, most));
       rest.set(job.spec.team, room - tasks * job.spec.cpus);
-      return { spec: job.spec, tasks, mostPrice: this.mostPrice(job, guaranteed, all) };
+      return { spec: job.spec, tasks, mostPrice: this.mostPrice(job, latest, all) };
     });
   }
 
@@ -248,19 +245,14 @@
     return latestStart(job, ratio, guaranteed, this.rt.settings);
   }
 
-  /**
-   * The dearest machines are only for work that would otherwise miss its deadline
-   * or its class's aims; for a guarantee, which is a matter of seconds, the price
-   * that the operators set is the limit.
-   */
-  private mostPrice(job: LiveJob, guaranteed: boolean, all: Offering[]): number {
+  /** Dear machines are only for work that would otherwise start too late. */
+  private mostPrice(job: LiveJob, latest: Instant, all: Offering[]): number {
     if (this.policy() === 'fast') return Infinity;
     const slowest = Math.min(...this.types().map((t) => t.fetchGbPerS));
     const boot = Math.max(...this.types().map((t) => t.boot));
     const lead = boot * BOOT_LEAD + (job.spec.imageGb / Math.max(0.01, slowest)) * 1000;
-    if (this.rt.now >= this.latest(job, false) - lead) return Infinity;
-    const share = guaranteed ? this.rt.operator.fleet.guaranteePrice : CHEAP_ENOUGH;
-    return leastSlotPrice(all, job.spec) * Math.max(share, CHEAP_ENOUGH);
+    if (this.rt.now >= latest - lead) return Infinity;
+    return leastSlotPrice(all, job.spec) * CHEAP_ENOUGH;
   }
 
   /** Where starts count more than money, room for a burst is kept beside the work at hand. */
--- a/packages/wire/src/settings.ts
+++ b/packages/wire/src/settings.ts
@@ -152,7 +152,6 @@
       idle_return_s: number(6, 0, 86400),
       boot_patience: number(4, 1.5, 100),
       headroom: number(1, 0, 10),
-      guarantee_price: number(3, 1, 1000),
       policy: z.enum(['auto', 'frugal', 'fast']).default('auto'),
     })
     .prefault({}),
@@ -165,7 +164,6 @@
     idleReturn: number;
     bootPatience: number;
     headroom: number;
-    guaranteePrice: number;
     policy: 'auto' | 'frugal' | 'fast';
   };
 }
@@ -185,7 +183,6 @@
       idleReturn: millis(f.idle_return_s),
       bootPatience: f.boot_patience,
       headroom: f.headroom,
-      guaranteePrice: f.guarantee_price,
       policy: f.policy,
     },
   };
