--- a/packages/adapters/src/service.ts
+++ b/packages/adapters/src/service.ts
@@ -16,7 +16,7 @@
 
 /** Each node may use this part of what the outside services allow to all. */
 const STATE_PART = 0.5;
-const CLOUD_PART = 0.6;
+const CLOUD_PART = 0.8;
 const STATE_SOCKETS = 24;
 const OTHER_SOCKETS = 8;
 /** A call that waited this part of its time for a token is better dropped. */
--- a/packages/controller/src/fleet-keeper.ts
+++ b/packages/controller/src/fleet-keeper.ts
@@ -33,6 +33,8 @@
 import type { Term } from './term.js';
 
 const LIST_EVERY = 5000;
+/** While a new term waits for its roster: lists tell what has vanished. */
+const LIST_SOON = 1500;
 const RENT_EVERY = 1000;
 const CALL_TIMEOUT = 4000;
 const REFUSED_FOR = 15_000;
@@ -42,6 +44,12 @@
 /** After a take-over, this few silent machines, as a part of all, are given up this soon. */
 const SILENT_PATIENCE = 8000;
 const SILENT_PART = 0.05;
+/** And this few even sooner: whoever waits for them waits for the whole roster. */
+const FEW_PATIENCE = 3500;
+const FEW_PART = 0.01;
+/** Renting goes on after this even if some of the roster is not accounted for. */
+const REBUILD_PATIENCE = 15_000;
+const GIVE_BACK_EVERY = 300;
 /** A machine that a list lacks and this term has not heard is given up after this long. */
 const NEW_TERM_PATIENCE = 1500;
 /** Boots take up to half as long again as their type says. */
@@ -72,6 +80,7 @@
   private readonly refused = new Map<string, Instant>();
   private listed = new Map<string, ListedMachine>();
   private listAsked: Instant | null = null;
+  private listBegun: Instant | null = null;
   private owned: string | null = null;
   private requests = 0;
   private returning = false;
@@ -86,7 +95,8 @@
 
   start(): void {
     this.readOwned();
-    this.repeat(LIST_EVERY, () => this.list('', new Map(), this.rt.now));
+    this.repeat(LIST_SOON, () => this.refreshList());
+    this.repeat(GIVE_BACK_EVERY, () => this.giveBack());
     this.repeat(RENT_EVERY, () => this.keep());
   }
 
@@ -172,6 +182,13 @@
     });
   }
 
+  private refreshList(): void {
+    const fresh = this.rt.now - (this.listBegun ?? -Infinity) < LIST_EVERY;
+    if (fresh && this.term.loaded && this.term.ready) return;
+    this.listBegun = this.rt.now;
+    this.list('', new Map(), this.rt.now);
+  }
+
   private list(after: string, found: Map<string, ListedMachine>, asked: Instant): void {
     this.call('GET', listPath(after), null, PRIORITY.leader, (r) => {
       const page =
@@ -210,7 +227,6 @@
   // --- renting ---------------------------------------------------------------
 
   private keep(): void {
-    this.giveBack();
     if (!this.term.loaded || this.owned === null || this.types().length === 0) return;
     this.repeatRentals();
     this.rent();
@@ -298,6 +314,7 @@
   }
 
   private rent(): void {
+    if (!this.knowsWhatRuns()) return;
     const backlog = [...this.backlog(), ...this.headroom()];
     const plan = planRentals(backlog, this.rooms(), this.offers(), MOST_PLANNED);
     const groups = new Map<string, { place: Place; count: number }>();
@@ -311,6 +328,11 @@
     }
   }
 
+  /** Before the roster is accounted for, tasks that run look like tasks that wait. */
+  private knowsWhatRuns(): boolean {
+    return this.term.ready || this.rt.now - this.term.acquired > REBUILD_PATIENCE;
+  }
+
   /** One request a kind at a time: its answer tells whether there is more. */
   private asked(place: Place): boolean {
     return [...this.rentals.values()].some((r) => placeKey(r) === placeKey(place));
@@ -446,8 +468,10 @@
    * their return proves them gone sooner than the end of their lease would.
    */
   private holdsUpTerm(): boolean {
-    if (this.rt.now - this.term.acquired < SILENT_PATIENCE) return false;
-    return this.term.unresolved().length <= Math.max(1, this.term.machines.size * SILENT_PART);
+    const age = this.rt.now - this.term.acquired;
+    if (age < FEW_PATIENCE) return false;
+    const part = age < SILENT_PATIENCE ? FEW_PART : SILENT_PART;
+    return this.term.unresolved().length <= Math.max(1, this.term.machines.size * part);
   }
 
   private idleLongEnough(m: Machine): boolean {
--- a/packages/scheduler/src/fleet.ts
+++ b/packages/scheduler/src/fleet.ts
@@ -1,5 +1,5 @@
 import type { JobSpec, MachineType } from '@tealdock/wire';
-import { minus, need, slots, type Resources } from './model.js';
+import { fits, least, minus, need, slots, type Resources } from './model.js';
 import { placeAllowed, type Place } from './rules.js';
 
 /** Tasks of one job that wait for room. */
@@ -43,30 +43,38 @@
 const slotPrice = (o: Offering, wanted: Resources, tasks: number): number =>
   o.price / Math.max(1, Math.min(slots(wanted, o.size), tasks));
 
-function cheapest(all: Offering[], backlog: Backlog, tasks: number): Offering | undefined {
+/** Offers that can hold such a task. */
+function ableOffers(offers: Offering[], spec: JobSpec): Offering[] {
+  const wanted = need(spec);
+  return offers.filter((o) => placeAllowed(spec, o, NOWHERE) && slots(wanted, o.size) > 0);
+}
+
+function cheapest(able: Offering[], backlog: Backlog, tasks: number): Offering | undefined {
   const wanted = need(backlog.spec);
-  const able = all.filter(
-    (o) => placeAllowed(backlog.spec, o, NOWHERE) && slots(wanted, o.size) > 0,
-  );
-  const price = (o: Offering) => slotPrice(o, wanted, tasks);
-  const best = able.sort((a, b) => price(a) - price(b))[0];
-  return best && price(best) <= (backlog.mostPrice ?? Infinity) ? best : undefined;
+  let best: Offering | undefined;
+  let lowest = Infinity;
+  for (const offer of able) {
+    const price = slotPrice(offer, wanted, tasks);
+    if (price < lowest) [best, lowest] = [offer, price];
+  }
+  return lowest <= (backlog.mostPrice ?? Infinity) ? best : undefined;
 }
 
 /** The least that a slot for such a task costs an hour, on a machine filled with them. */
 export function leastSlotPrice(all: Offering[], spec: JobSpec): number {
   const wanted = need(spec);
-  const able = all.filter((o) => placeAllowed(spec, o, NOWHERE) && slots(wanted, o.size) > 0);
-  return Math.min(Infinity, ...able.map((o) => slotPrice(o, wanted, Infinity)));
+  const prices = ableOffers(all, spec).map((o) => slotPrice(o, wanted, Infinity));
+  return Math.min(Infinity, ...prices);
 }
 
-function useRoom(room: Room[], backlog: Backlog): number {
-  const wanted = need(backlog.spec);
-  let left = backlog.tasks;
-  for (const r of room) {
+/** Takes room for as many of the tasks as there is, and says how many are left. */
+function useRoom(rooms: Room[], spec: JobSpec, tasks: number): number {
+  const wanted = need(spec);
+  let left = tasks;
+  for (const r of rooms) {
     if (left === 0) break;
-    if (!placeAllowed(backlog.spec, r, NOWHERE)) continue;
     const taken = Math.min(left, slots(wanted, r.free));
+    if (taken === 0 || !placeAllowed(spec, r, NOWHERE)) continue;
     left -= taken;
     const used = {
       cpus: wanted.cpus * taken,
@@ -88,17 +96,25 @@
   offers: Offering[],
   most: number,
 ): Offering[] {
-  const rooms = room.map((r) => ({ ...r }));
+  const wanting = backlog.filter((entry) => entry.tasks > 0);
+  if (wanting.length === 0 || offers.length === 0) return [];
+  const smallest = wanting.map((entry) => need(entry.spec)).reduce(least);
+  const usable = (r: Room) => fits(smallest, r.free);
+  let rooms = room.filter(usable).map((r) => ({ ...r }));
   const plan: Offering[] = [];
-  for (const entry of backlog) {
-    let left = useRoom(rooms, entry);
+  for (const entry of wanting) {
+    if (plan.length >= most) break;
+    let left = useRoom(rooms, entry.spec, entry.tasks);
+    // Full machines would be looked at again for every later job.
+    rooms = rooms.filter(usable);
+    const able = left > 0 ? ableOffers(offers, entry.spec) : [];
     while (left > 0 && plan.length < most) {
-      const offer = cheapest(offers, entry, left);
+      const offer = cheapest(able, entry, left);
       if (!offer) break;
       plan.push(offer);
       const added: Room = { ...offer, free: offer.size };
-      left = useRoom([added], { spec: entry.spec, tasks: left });
-      rooms.push(added);
+      left = useRoom([added], entry.spec, left);
+      if (usable(added)) rooms.push(added);
     }
   }
   return plan;
