--- a/packages/adapters/src/peer-link.ts
+++ b/packages/adapters/src/peer-link.ts
@@ -4,8 +4,8 @@
   packBody,
   packPeer,
   unpackBody,
-  type JobCount,
   type PeerMessage,
+  type Told,
 } from '@tealdock/wire';
 import type { Call, CallResult, Log } from '@tealdock/controller';
 import { splitAddress } from './http-client.js';
@@ -18,7 +18,7 @@
 
 export interface PeerEvents {
   beat(message: Extract<PeerMessage, { kind: 'beat' }>): void;
-  counts(message: Extract<PeerMessage, { kind: 'counts' }>): void;
+  told(message: Told): void;
   ask(
     message: Extract<PeerMessage, { kind: 'ask' }>,
     respond: (status: number, body: unknown) => void,
@@ -56,8 +56,8 @@
     for (const socket of this.sockets.values()) this.write(socket, frame);
   }
 
-  tellCounts(jobs: JobCount[]): void {
-    const frame = packPeer({ kind: 'counts', jobs });
+  tell(message: Told): void {
+    const frame = packPeer(message);
     for (const socket of this.sockets.values()) this.write(socket, frame);
   }
 
@@ -120,7 +120,7 @@
 
   private take(socket: Socket, message: PeerMessage): void {
     if (message.kind === 'beat') this.events.beat(message);
-    else if (message.kind === 'counts') this.events.counts(message);
+    else if (message.kind === 'counts' || message.kind === 'hints') this.events.told(message);
     else if (message.kind === 'answer') {
       const body = message.body.length > 0 ? unpackBody(message.body) : null;
       this.settle(message.id, { kind: 'answer', status: message.status, body });
--- a/packages/adapters/src/service.ts
+++ b/packages/adapters/src/service.ts
@@ -60,7 +60,7 @@
       settings.peers,
       {
         beat: (m) => this.push({ ...m }),
-        counts: (m) => this.push({ ...m }),
+        told: (message) => this.push({ kind: 'told', message }),
         ask: (m, respond) =>
           this.request('peer', m.method, m.path, m.body, (r) => respond(r.status, r.body)),
       },
@@ -123,7 +123,7 @@
     } else if (effect.kind === 'beat') {
       const { leader, token, stateOk } = effect;
       this.peers.beat(this.parts.settings.member, leader, token, stateOk);
-    } else if (effect.kind === 'counts') this.peers.tellCounts(effect.jobs);
+    } else if (effect.kind === 'tell') this.peers.tell(effect.message);
     else this.call(effect.id, effect.call);
   }
 
--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -7,12 +7,14 @@
   unpackBody,
   type Duration,
   type Instant,
+  type Told,
   type WorkerReport,
 } from '@tealdock/wire';
 import { Catalog } from './catalog.js';
 import { Completer } from './completer.js';
 import { FleetKeeper } from './fleet-keeper.js';
 import { HeldAnswers } from './held-answers.js';
+import { hintsOf, useHints } from './hints.js';
 import { Leadership } from './leadership.js';
 import { Peers } from './peers.js';
 import { Placer } from './placer.js';
@@ -29,6 +31,7 @@
 const CHECK_EVERY = 1000;
 const COUNTS_EVERY = 2000;
 const MOST_COUNTS = 4000;
+const HINTS_EVERY = 5000;
 /** Workers give up after 4 s. */
 const PARK = 2500;
 /** A term is given this long to hear its first reports. */
@@ -98,12 +101,16 @@
       this.tellCounts();
       return true;
     });
+    this.rt.every(HINTS_EVERY, () => {
+      this.tellHints();
+      return true;
+    });
   }
 
   private apply(command: Command): void {
     if (command.kind === 'result') this.rt.settle(command.id, command.result);
     else if (command.kind === 'beat') this.peers.hear(command);
-    else if (command.kind === 'counts') this.peers.hearCounts(command.jobs);
+    else if (command.kind === 'told') this.peers.hearTold(command.message);
     else if (command.kind === 'request') this.route(command);
   }
 
@@ -119,8 +126,18 @@
       done: job.doneCount,
       running: job.countRunning(),
     }));
-    this.rt.tellCounts(jobs);
-    this.peers.hearCounts(jobs);
+    this.tell({ kind: 'counts', jobs });
+  }
+
+  /** What a successor may start from; nothing depends on its being right. */
+  private tellHints(): void {
+    if (!this.term?.loaded || !this.leadership.held()) return;
+    this.tell({ kind: 'hints', ...hintsOf(this.term) });
+  }
+
+  private tell(message: Told): void {
+    this.rt.tell(message);
+    this.peers.hearTold(message);
   }
 
   // --- leadership ------------------------------------------------------------
@@ -129,6 +146,7 @@
     this.term?.close();
     this.held?.release();
     const term = new Term(this.rt, this.state, this.leadership, token);
+    if (this.peers.hints) useHints(this.peers.hints, term);
     this.term = term;
     this.held = new HeldAnswers(this.rt, term, () => this.leadership.held());
     const types = () => this.catalog.types;
--- a/packages/controller/src/desks.ts
+++ b/packages/controller/src/desks.ts
@@ -25,6 +25,7 @@
 
 export const deskOf = (machine: Machine, type: MachineType): Desk => {
   const free = machine.free(type);
+  machine.cacheGb = type.cacheGb;
   return { machine, type, free, coming: plus(free, machine.stopping) };
 };
 
--- /dev/null
+++ b/packages/controller/src/hints.ts
@@ -0,0 +1,29 @@
+import type { Hints } from '@tealdock/wire';
+import type { Term } from './term.js';
+
+/** What this term has learnt that a successor can't read anywhere. */
+export function hintsOf(term: Term): Hints {
+  const images = new Map<string, { at: number; gb: number }>();
+  const machines = [...term.machines.values()].map((m) => {
+    const held: number[] = [];
+    for (const [image, gb] of m.images) {
+      const known = images.get(image) ?? { at: images.size, gb };
+      images.set(image, known);
+      held.push(known.at);
+    }
+    return { id: m.id, held };
+  });
+  return {
+    ratios: [...term.ratios].map(([jobClass, ratio]) => ({ jobClass, ratio })),
+    images: [...images].map(([image, { gb }]) => ({ image, gb })),
+    machines: machines.filter((m) => m.held.length > 0),
+  };
+}
+
+export function useHints(hints: Hints, term: Term): void {
+  for (const { jobClass, ratio } of hints.ratios) term.ratios.set(jobClass, ratio);
+  for (const { id, held } of hints.machines) {
+    const images = held.map((at) => hints.images[at]).filter((i) => i !== undefined);
+    term.heldBefore.set(id, images);
+  }
+}
--- a/packages/controller/src/machine.ts
+++ b/packages/controller/src/machine.ts
@@ -31,6 +31,7 @@
   sheltered: boolean;
   /** Null where the job is not known any more. */
   readonly image: string | null;
+  readonly imageGb: number;
   /** Not one that this term wants to run: it is only counted until it is gone. */
   foreign: boolean;
 }
@@ -38,7 +39,6 @@
 export const bindingKey = (task: string, attempt: number): string => `${task}#${attempt}`;
 
 const RECENT_WINDOW = 300_000;
-const MOST_IMAGES = 50;
 
 /** What the bindings of a machine come to; made anew after a change. */
 interface Summary {
@@ -75,7 +75,10 @@
   recent = 0;
   /** First known to be there, on this process's steady clock. */
   since: Instant = Infinity;
-  readonly images = new Set<string>();
+  /** Images it should hold and their size, the least recently used first. */
+  readonly images = new Map<string, number>();
+  /** What its cache takes; known once its type is. */
+  cacheGb = Infinity;
   private summary: Summary | null = null;
 
   constructor(
@@ -129,12 +132,18 @@
     return { used, stopping, fetching };
   }
 
-  noteImage(image: string): void {
+  /** Used there just now; what was used the longest ago makes room for it. */
+  noteImage(image: string, gb: number): void {
     this.images.delete(image);
-    this.images.add(image);
+    this.images.set(image, gb);
+    let held = 0;
+    for (const size of this.images.values()) held += size;
+    for (const [oldest, size] of this.images) {
+      if (held <= this.cacheGb || oldest === image) break;
+      this.images.delete(oldest);
+      held -= size;
+    }
     this.touch();
-    const oldest = this.images.values().next().value;
-    if (this.images.size > MOST_IMAGES && oldest !== undefined) this.images.delete(oldest);
   }
 
   /** Recent accumulated computing time, fading over some minutes. */
--- a/packages/controller/src/peers.ts
+++ b/packages/controller/src/peers.ts
@@ -1,4 +1,4 @@
-import type { Instant, JobCount } from '@tealdock/wire';
+import type { Hints, Instant, JobCount, Told } from '@tealdock/wire';
 import { PRIORITY, type CallResult, type Command } from './ports.js';
 import type { Runtime } from './runtime.js';
 
@@ -14,6 +14,8 @@
 export class Peers {
   private readonly beats = new Map<string, { beat: Beat; heard: Instant }>();
 
+  /** What the last leader had learnt, as far as this node was told. */
+  hints: Hints | null = null;
   private counts = new Map<string, JobCounts>();
 
   constructor(private readonly rt: Runtime) {}
@@ -29,9 +31,10 @@
     this.beats.set(beat.member, { beat, heard: this.rt.now });
   }
 
-  /** Counts for display, as the leader told them last. */
-  hearCounts(jobs: JobCount[]): void {
-    this.counts = new Map(jobs.map((j) => [j.id, j]));
+  /** The leader's counts for display, and what it has learnt. */
+  hearTold(message: Told): void {
+    if (message.kind === 'hints') this.hints = message;
+    else this.counts = new Map(message.jobs.map((j) => [j.id, j]));
   }
 
   countsOf(job: string): JobCounts | undefined {
--- a/packages/controller/src/ports.ts
+++ b/packages/controller/src/ports.ts
@@ -1,11 +1,11 @@
-import type { Duration, Instant, JobCount } from '@tealdock/wire';
+import type { Duration, Instant, Told } from '@tealdock/wire';
 
 /** What reaches the state owner: everything goes through one queue, in batches. */
 export type Command =
   | { kind: 'request'; id: number; method: string; path: string; body: Buffer; via: Via }
   | { kind: 'result'; id: number; result: CallResult }
   | { kind: 'beat'; member: string; leader: string; token: number; stateOk: boolean }
-  | { kind: 'counts'; jobs: JobCount[] }
+  | { kind: 'told'; message: Told }
   | { kind: 'tick' };
 
 export type Via = 'public' | 'peer';
@@ -49,7 +49,7 @@
   | { kind: 'reply'; id: number; reply: Reply }
   | { kind: 'call'; id: number; call: Call }
   | { kind: 'beat'; leader: string; token: number; stateOk: boolean }
-  | { kind: 'counts'; jobs: JobCount[] };
+  | { kind: 'tell'; message: Told };
 
 export type LogLevel = 'error' | 'info' | 'debug';
 export type Log = (level: LogLevel, fields: Record<string, unknown>, message: string) => void;
--- a/packages/controller/src/runtime.ts
+++ b/packages/controller/src/runtime.ts
@@ -1,5 +1,5 @@
 import TinyQueue from 'tinyqueue';
-import type { Duration, Instant, JobCount, OperatorSettings, Settings } from '@tealdock/wire';
+import type { Duration, Instant, OperatorSettings, Settings, Told } from '@tealdock/wire';
 import type { Call, CallResult, Effect, Log, Random, Reply } from './ports.js';
 import type { Stats } from './stats.js';
 
@@ -60,8 +60,8 @@
     this.effects.push({ kind: 'beat', leader, token, stateOk });
   }
 
-  tellCounts(jobs: JobCount[]): void {
-    this.effects.push({ kind: 'counts', jobs });
+  tell(message: Told): void {
+    this.effects.push({ kind: 'tell', message });
   }
 
   settle(id: number, result: CallResult): void {
--- a/packages/controller/src/term.ts
+++ b/packages/controller/src/term.ts
@@ -11,7 +11,7 @@
   type TaskReport,
   type WorkerReport,
 } from '@tealdock/wire';
-import { NOTHING, fits, least, need, type Resources } from '@tealdock/scheduler';
+import { NOTHING, fits, least, need, type Place, type Resources } from '@tealdock/scheduler';
 import {
   LIVE_PREFIX,
   PROGRESS_PREFIX,
@@ -70,6 +70,8 @@
   closed = false;
   /** Learnt ratio of actual to estimated run time, by class. */
   readonly ratios = new Map<string, number>();
+  /** Images that a machine held by the word of the last leader. */
+  readonly heldBefore = new Map<string, { image: string; gb: number }[]>();
   /** Keys below the live jobs that belong to none. */
   readonly orphans: string[] = [];
   readonly ledger = new Ledger();
@@ -189,7 +191,7 @@
   }
 
   private loadMachine(id: string, [type, zone, spot, returning, since]: RosterEntry): void {
-    const m = this.machines.get(id) ?? new Machine(id, type, zone, spot === 1);
+    const m = this.machines.get(id) ?? this.newMachine(id, { type, zone, spot: spot === 1 });
     m.inRoster = true;
     m.returning = m.returnCommitted = returning === 1;
     m.since = this.rt.now - Math.max(0, this.rt.today.getTime() - since * 1000);
@@ -316,7 +318,7 @@
   private machineOf(report: WorkerReport): Machine {
     let m = this.machines.get(report.machine);
     if (!m) {
-      m = new Machine(report.machine, report.type, report.zone, report.spot);
+      m = this.newMachine(report.machine, report);
       // Not in the roster, so no term has ever sent a start to it.
       m.resolved = true;
       this.machines.set(m.id, m);
@@ -325,6 +327,12 @@
     return m;
   }
 
+  private newMachine(id: string, place: Place): Machine {
+    const m = new Machine(id, place.type, place.zone, place.spot);
+    for (const { image, gb } of this.heldBefore.get(id) ?? []) m.noteImage(image, gb);
+    return m;
+  }
+
   private absorb(report: WorkerReport): void {
     const m = this.machineOf(report);
     if (report.session > m.session) this.endAll(m, 'session ended');
@@ -376,7 +384,7 @@
   }
 
   private noteStart(m: Machine, b: Binding): void {
-    if (b.image !== null) m.noteImage(b.image);
+    if (b.image !== null) m.noteImage(b.image, b.imageGb);
     if (b.runningSince !== null) return;
     b.runningSince = this.rt.now;
     if (b.phase === 'seen' && b.sentSeq > 0) {
@@ -446,6 +454,7 @@
       team: job?.spec.team ?? '',
       size: job ? need(job.spec) : NOTHING,
       image: job?.spec.image ?? null,
+      imageGb: job?.spec.imageGb ?? 0,
       phase: 'seen',
       bookedAt: this.rt.now,
       sentSession: 0,
@@ -589,6 +598,7 @@
       team: job.spec.team,
       size: need(job.spec),
       image: job.spec.image,
+      imageGb: job.spec.imageGb,
       phase: 'booked',
       bookedAt: this.rt.now,
       sentSession: 0,
--- a/packages/testing/src/world.ts
+++ b/packages/testing/src/world.ts
@@ -4,9 +4,9 @@
   packBody,
   parseOperatorSettings,
   parseSubmission,
-  type JobCount,
   type JobSpec,
   type Settings,
+  type Told,
 } from '@tealdock/wire';
 import {
   Controller,
@@ -234,7 +234,7 @@
   private carryOut(node: Node, effect: Effect): void {
     if (effect.kind === 'reply') this.reply(node, effect.id, effect.reply);
     else if (effect.kind === 'beat') this.beat(node, effect);
-    else if (effect.kind === 'counts') this.counts(node, effect.jobs);
+    else if (effect.kind === 'tell') this.tell(node, effect.message);
     else {
       const done = (result: CallResult) =>
         this.at(HALF_TRIP, () => this.push(node, { kind: 'result', id: effect.id, result }));
@@ -257,10 +257,10 @@
     }
   }
 
-  private counts(node: Node, jobs: JobCount[]): void {
+  private tell(node: Node, message: Told): void {
     for (const other of this.alive.values()) {
       if (other !== node && !this.cut(node.name, other.name)) {
-        this.push(other, { kind: 'counts', jobs });
+        this.push(other, { kind: 'told', message });
       }
     }
   }
--- a/packages/wire/src/peers.ts
+++ b/packages/wire/src/peers.ts
@@ -7,10 +7,23 @@
   running: number;
 }
 
+/**
+ * What a leader has learnt and a successor may use: run times by class, and which
+ * machines hold which images, as indices into the list of images.
+ */
+export interface Hints {
+  ratios: { jobClass: string; ratio: number }[];
+  images: { image: string; gb: number }[];
+  machines: { id: string; held: number[] }[];
+}
+
+/** What the leader tells the others, for display and as hints. */
+export type Told = { kind: 'counts'; jobs: JobCount[] } | ({ kind: 'hints' } & Hints);
+
 /** What controllers tell each other; see docs/design.md, "Between controllers". */
 export type PeerMessage =
   | { kind: 'beat'; member: string; leader: string; token: number; stateOk: boolean }
-  | { kind: 'counts'; jobs: JobCount[] }
+  | Told
   | { kind: 'ask'; id: number; method: string; path: string; body: Buffer }
   | { kind: 'answer'; id: number; status: number; body: Buffer };
 
@@ -45,6 +58,19 @@
     },
   ],
 });
+const recordOf = (name: string, fields: Record<string, avsc.Schema>): avsc.Schema => ({
+  type: 'record',
+  name,
+  fields: Object.entries(fields).map(([field, type]) => ({ name: field, type })),
+});
+const listOf = (items: avsc.Schema): avsc.Schema => ({ type: 'array', items });
+const hints = avsc.Type.forSchema(
+  recordOf('Hints', {
+    ratios: listOf(recordOf('ClassRatio', { jobClass: 'string', ratio: 'double' })),
+    images: listOf(recordOf('Image', { image: 'string', gb: 'double' })),
+    machines: listOf(recordOf('Holder', { id: 'string', held: listOf('int') })),
+  }),
+);
 const ask = avsc.Type.forSchema({
   type: 'record',
   name: 'Ask',
@@ -64,8 +90,8 @@
     { name: 'body', type: 'bytes' },
   ],
 });
-const TYPES = { beat, ask, answer, counts } as const;
-const KINDS = ['beat', 'ask', 'answer', 'counts'] as const;
+const TYPES = { beat, ask, answer, counts, hints } as const;
+const KINDS = ['beat', 'ask', 'answer', 'counts', 'hints'] as const;
 const HEADER_BYTES = 5;
 export const MAX_PEER_FRAME = 256 * 1024;
 
