--- a/packages/testing/src/troubles.test.ts
+++ b/packages/testing/src/troubles.test.ts
@@ -157,3 +157,57 @@
   assert.equal(answered.size, ids.length);
   keepsRules(world);
 });
+
+// Shards hold many entries: a late write of an old one would undo all that came since.
+test('commits that are carried out late undo nothing in the packed tables', () => {
+  const world = settled({ capacity: 6, runTime: 4000 }, 2);
+  world.submit(job(1, { batch: 60, expected_s: 4 }), 'n-0');
+  let turn = 0;
+  world.stateFault = (_node, call) => {
+    const table = JSON.stringify(call.body ?? '').match(/tealdock\/(roster|progress)/) !== null;
+    return call.writes > 0 && table && turn++ % 2 === 0 ? 'late' : undefined;
+  };
+  for (let i = 0; i < 4; i++) world.at(3000 * i, () => world.cloud.add('a'));
+  world.run(25_000);
+  const roster = () =>
+    [...world.state.keys]
+      .filter(([key]) => key.includes('/roster/'))
+      .flatMap(([, e]) => Object.keys((e.v as { entries: object }).entries));
+  assert.ok(turn > 4, 'some commits were late');
+  for (const id of world.workers.keys()) assert.ok(roster().includes(id), `${id} is enrolled`);
+  world.stateFault = null;
+  world.crash(world.leader()!);
+  assert.ok(finished(world, A, 200_000));
+  keepsRules(world);
+});
+
+test('while nobody leads, workers wait for the election instead of asking around', () => {
+  const world = settled({}, 20);
+  world.crash(world.leader()!);
+  world.run(4000);
+  const before = [...world.workers.values()].reduce((n, w) => n + w.tally, 0);
+  world.run(5000);
+  const reports = [...world.workers.values()].reduce((n, w) => n + w.tally, 0) - before;
+  assert.ok(reports < 20 * 4, `${reports} reports of 20 workers`);
+  assert.ok(
+    world.runUntil(() => world.log.some((l) => l.message === 'roster accounted for'), 15_000),
+  );
+});
+
+test('a successor knows which machines hold an image', () => {
+  const world = settled({ runTime: 3000 }, 6);
+  world.submit(job(1, { batch: 2 }), 'n-0');
+  assert.ok(finished(world, A));
+  const holders = new Set(
+    world.log.filter((l) => l.message === 'start sent').map((l) => l.fields['machine']),
+  );
+  world.run(6000);
+  world.crash(world.leader()!);
+  world.run(20_000);
+  const from = world.log.length;
+  world.submit(job(2, { batch: 2 }), [...world.alive.keys()][0]!);
+  assert.ok(finished(world, 'run-000002'));
+  const used = world.log.slice(from).filter((l) => l.message === 'start sent');
+  for (const l of used) assert.ok(holders.has(l.fields['machine']), 'work goes to a holder');
+  assert.ok(used.length > 0);
+});
--- a/packages/testing/src/world.ts
+++ b/packages/testing/src/world.ts
@@ -25,9 +25,13 @@
 
 const STEP = 50;
 const HALF_TRIP = 5;
+const LATE = 9000;
 const TODAY = Date.UTC(2026, 0, 1);
 export const NODES = ['n-0', 'n-1', 'n-2'];
 
+/** A call that is lost before or after it is carried out, or is carried out much later. */
+type StateFault = 'lost_before' | 'lost_after' | 'late';
+
 export interface WorldOptions {
   seed?: number;
   capacity?: number;
@@ -107,8 +111,7 @@
   readonly cuts = new Set<string>();
   readonly log: { node: string; message: string; fields: Record<string, unknown> }[] = [];
   /** What a state call of a node comes to instead; undefined leaves it alone. */
-  stateFault: ((node: string, call: Call) => 'lost_after' | 'lost_before' | undefined) | null =
-    null;
+  stateFault: ((node: string, call: Call) => StateFault | undefined) | null = null;
   readonly jobs = new Map<string, JobSpec>();
   /** After what time a copy of a report arrives once more, if at all; nobody gets its answer. */
   copyDelay: (() => number | null) | null = null;
@@ -276,6 +279,10 @@
     if (call.target === 'cloud') return done(this.cloud.handle(call.path, call.body));
     const fault = this.stateFault?.(from, call);
     if (fault === 'lost_before') return lost();
+    if (fault === 'late') {
+      this.at(LATE, () => this.state.handle(call.method, call.path, call.body, () => undefined));
+      return lost();
+    }
     const answer = fault === 'lost_after' ? lost : done;
     this.state.handle(call.method, call.path, call.body, answer);
   }
