--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -7,12 +7,14 @@
   unpackBody,
   type Duration,
   type Instant,
+  type Told,
   type WorkerReport,
 } from '@tealdock/wire';
 import { Catalog } from './catalog.js';
 import { Completer } from './completer.js';
 import { FleetKeeper } from './fleet-keeper.js';
 import { HeldAnswers } from './held-answers.js';
+import { hintsOf, useHints } from './hints.js';
 import { Leadership } from './leadership.js';
 import { Peers } from './peers.js';
 import { Placer } from './placer.js';
@@ -29,6 +31,9 @@
 const CHECK_EVERY = 1000;
 const COUNTS_EVERY = 2000;
 const MOST_COUNTS = 4000;
+const HINTS_EVERY = 5000;
+/** Workers give up after 4 s. */
+const PARK = 2500;
 /** A term is given this long to hear its first reports. */
 const DEAF_GRACE = 12_000;
 
@@ -47,6 +52,8 @@
   private readonly requests: Requests;
   private term: Term | null = null;
   private held: HeldAnswers | null = null;
+  /** Reports that wait for an election. */
+  private readonly parked = new Map<number, Request>();
   private startedAt: Instant | null = null;
 
   constructor(env: Environment) {
@@ -71,6 +78,7 @@
     if (this.startedAt === null) this.start();
     for (const command of commands) this.apply(command);
     this.rt.runDue();
+    this.unpark();
     this.held?.release();
     return this.rt.takeEffects();
   }
@@ -93,12 +101,16 @@
       this.tellCounts();
       return true;
     });
+    this.rt.every(HINTS_EVERY, () => {
+      this.tellHints();
+      return true;
+    });
   }
 
   private apply(command: Command): void {
     if (command.kind === 'result') this.rt.settle(command.id, command.result);
     else if (command.kind === 'beat') this.peers.hear(command);
-    else if (command.kind === 'counts') this.peers.hearCounts(command.jobs);
+    else if (command.kind === 'told') this.peers.hearTold(command.message);
     else if (command.kind === 'request') this.route(command);
   }
 
@@ -114,8 +126,18 @@
       done: job.doneCount,
       running: job.countRunning(),
     }));
-    this.rt.tellCounts(jobs);
-    this.peers.hearCounts(jobs);
+    this.tell({ kind: 'counts', jobs });
+  }
+
+  /** What a successor may start from; nothing depends on its being right. */
+  private tellHints(): void {
+    if (!this.term?.loaded || !this.leadership.held()) return;
+    this.tell({ kind: 'hints', ...hintsOf(this.term) });
+  }
+
+  private tell(message: Told): void {
+    this.rt.tell(message);
+    this.peers.hearTold(message);
   }
 
   // --- leadership ------------------------------------------------------------
@@ -124,6 +146,7 @@
     this.term?.close();
     this.held?.release();
     const term = new Term(this.rt, this.state, this.leadership, token);
+    if (this.peers.hints) useHints(this.peers.hints, term);
     this.term = term;
     this.held = new HeldAnswers(this.rt, term, () => this.leadership.held());
     const types = () => this.catalog.types;
@@ -226,11 +249,50 @@
     return type && this.term ? this.term.holdFor(report.machine, type) : 0;
   }
 
-  /** Names the leader only while it seems to live, so that workers lose no time on it. */
+  /**
+   * Names the leader only while it seems to live, so that workers lose no time on
+   * it. While there is none, the report waits for the election for a moment: a
+   * thousand workers that go round the nodes once a second would slow it down.
+   */
   private redirect(request: Request): void {
-    this.rt.stats.count('reports.redirected');
+    const leader = this.liveLeader();
+    if (leader === null && this.mayPark()) return this.park(request);
+    this.sendOn(request.id, leader);
+  }
+
+  private liveLeader(): string | null {
     const leader = this.leadership.leader;
-    const known = leader !== null && this.peers.alive(leader);
-    this.rt.reply(request.id, { status: 421, body: renderRedirect(known ? leader : null) });
+    return leader !== null && this.peers.alive(leader) ? leader : null;
+  }
+
+  private sendOn(request: number, leader: string | null): void {
+    this.rt.stats.count('reports.redirected');
+    this.rt.reply(request, { status: 421, body: renderRedirect(leader) });
+  }
+
+  /** A node without the state service will not know of the election, nor win it. */
+  private mayPark(): boolean {
+    return !this.state.doubtful && this.parked.size < this.rt.settings.maxConnections / 2;
+  }
+
+  private park(request: Request): void {
+    this.parked.set(request.id, request);
+    this.rt.stats.count('reports.parked');
+    this.rt.after(PARK, () => {
+      if (this.parked.delete(request.id)) this.sendOn(request.id, this.liveLeader());
+    });
+  }
+
+  /** Somebody leads, or this node can't tell any more. */
+  private unpark(): void {
+    if (this.parked.size === 0) return;
+    const leads = this.leadership.held() !== null && this.term !== null;
+    if (!leads && this.liveLeader() === null && !this.state.doubtful) return;
+    const waiting = [...this.parked.values()];
+    this.parked.clear();
+    for (const request of waiting) {
+      if (leads) this.hello(request);
+      else this.sendOn(request.id, this.liveLeader());
+    }
   }
 }
--- a/packages/controller/src/fleet-keeper.ts
+++ b/packages/controller/src/fleet-keeper.ts
@@ -33,6 +33,8 @@
 import type { Term } from './term.js';
 
 const LIST_EVERY = 5000;
+/** While a new term waits for its roster: lists tell what has vanished. */
+const LIST_SOON = 1500;
 const RENT_EVERY = 1000;
 const CALL_TIMEOUT = 4000;
 const REFUSED_FOR = 15_000;
@@ -40,8 +42,16 @@
 const LEAST_CHARGE = 60_000;
 const MOST_PLANNED = 400;
 /** After a take-over, this few silent machines, as a part of all, are given up this soon. */
-const SILENT_PATIENCE = 9000;
-const SILENT_PART = 0.15;
+const SILENT_PATIENCE = 8000;
+const SILENT_PART = 0.05;
+/** And this few even sooner: whoever waits for them waits for the whole roster. */
+const FEW_PATIENCE = 3500;
+const FEW_PART = 0.01;
+/** Renting goes on after this even if some of the roster is not accounted for. */
+const REBUILD_PATIENCE = 15_000;
+const GIVE_BACK_EVERY = 300;
+/** A machine that a list lacks and this term has not heard is given up after this long. */
+const NEW_TERM_PATIENCE = 1500;
 /** Boots take up to half as long again as their type says. */
 const BOOT_LEAD = 1.5;
 /** A slot is cheap up to this multiple of the cheapest. */
@@ -70,6 +80,7 @@
   private readonly refused = new Map<string, Instant>();
   private listed = new Map<string, ListedMachine>();
   private listAsked: Instant | null = null;
+  private listBegun: Instant | null = null;
   private owned: string | null = null;
   private requests = 0;
   private returning = false;
@@ -84,7 +95,8 @@
 
   start(): void {
     this.readOwned();
-    this.repeat(LIST_EVERY, () => this.list('', new Map(), this.rt.now));
+    this.repeat(LIST_SOON, () => this.refreshList());
+    this.repeat(GIVE_BACK_EVERY, () => this.giveBack());
     this.repeat(RENT_EVERY, () => this.keep());
   }
 
@@ -100,11 +112,25 @@
     return this.owned !== null && this.owned !== '' && id <= this.owned;
   }
 
-  /** What work on this machine adds to the bill: nothing where it is owned, or busy anyway. */
+  /**
+   * What work on this machine adds to the bill: nothing where it is owned, or busy
+   * anyway and cheap. A dear one shows its price also while it is busy, so that it
+   * gets no more work than there is, falls idle and goes back.
+   */
   price(m: Machine, type: MachineType): number {
     if (this.isOwned(m.id)) return 0;
-    if (this.policy() === 'frugal' && m.bindings.size > 0) return 0;
-    return m.spot ? type.spotPrice : type.price;
+    const price = m.spot ? type.spotPrice : type.price;
+    if (this.policy() === 'fast' || m.bindings.size === 0) return price;
+    return price <= this.leastRate() * type.cpus * CHEAP_ENOUGH ? 0 : price;
+  }
+
+  /** What a CPU costs an hour on the cheapest kind of machine. */
+  private leastRate(): number {
+    let least = Infinity;
+    for (const t of this.types()) {
+      if (t.cpus > 0) least = Math.min(least, t.price / t.cpus, t.spotPrice / t.cpus);
+    }
+    return least;
   }
 
   /** Whether anything can be rented at all just now. */
@@ -156,6 +182,13 @@
     });
   }
 
+  private refreshList(): void {
+    const fresh = this.rt.now - (this.listBegun ?? -Infinity) < LIST_EVERY;
+    if (fresh && this.term.loaded && this.term.ready) return;
+    this.listBegun = this.rt.now;
+    this.list('', new Map(), this.rt.now);
+  }
+
   private list(after: string, found: Map<string, ListedMachine>, asked: Instant): void {
     this.call('GET', listPath(after), null, PRIORITY.leader, (r) => {
       const page =
@@ -194,7 +227,6 @@
   // --- renting ---------------------------------------------------------------
 
   private keep(): void {
-    this.giveBack();
     if (!this.term.loaded || this.owned === null || this.types().length === 0) return;
     this.repeatRentals();
     this.rent();
@@ -282,6 +314,7 @@
   }
 
   private rent(): void {
+    if (!this.knowsWhatRuns()) return;
     const backlog = [...this.backlog(), ...this.headroom()];
     const plan = planRentals(backlog, this.rooms(), this.offers(), MOST_PLANNED);
     const groups = new Map<string, { place: Place; count: number }>();
@@ -295,6 +328,11 @@
     }
   }
 
+  /** Before the roster is accounted for, tasks that run look like tasks that wait. */
+  private knowsWhatRuns(): boolean {
+    return this.term.ready || this.rt.now - this.term.acquired > REBUILD_PATIENCE;
+  }
+
   /** One request a kind at a time: its answer tells whether there is more. */
   private asked(place: Place): boolean {
     return [...this.rentals.values()].some((r) => placeKey(r) === placeKey(place));
@@ -418,8 +456,10 @@
    */
   private vanished(m: Machine): boolean {
     if (this.listAsked === null || this.listed.has(m.id)) return false;
-    const silence = this.rt.now - (m.lastHeard ?? this.term.acquired);
-    if (silence < this.rt.settings.reportEvery * 1.5) return false;
+    // A new term's machines are silent until they have found it.
+    const heard = m.lastHeard !== null;
+    const silence = this.rt.now - (heard ? m.lastHeard! : this.term.acquired);
+    if (silence < (heard ? this.rt.settings.reportEvery * 1.5 : NEW_TERM_PATIENCE)) return false;
     return this.listAsked - this.rt.settings.cloud.listLag * 2 > m.since;
   }
 
@@ -428,8 +468,10 @@
    * their return proves them gone sooner than the end of their lease would.
    */
   private holdsUpTerm(): boolean {
-    if (this.rt.now - this.term.acquired < SILENT_PATIENCE) return false;
-    return this.term.unresolved().length <= Math.max(1, this.term.machines.size * SILENT_PART);
+    const age = this.rt.now - this.term.acquired;
+    if (age < FEW_PATIENCE) return false;
+    const part = age < SILENT_PATIENCE ? FEW_PART : SILENT_PART;
+    return this.term.unresolved().length <= Math.max(1, this.term.machines.size * part);
   }
 
   private idleLongEnough(m: Machine): boolean {
--- a/packages/controller/src/term.ts
+++ b/packages/controller/src/term.ts
@@ -11,7 +11,7 @@
   type TaskReport,
   type WorkerReport,
 } from '@tealdock/wire';
-import { NOTHING, fits, least, need, type Resources } from '@tealdock/scheduler';
+import { NOTHING, fits, least, need, type Place, type Resources } from '@tealdock/scheduler';
 import {
   LIVE_PREFIX,
   PROGRESS_PREFIX,
@@ -70,6 +70,8 @@
   closed = false;
   /** Learnt ratio of actual to estimated run time, by class. */
   readonly ratios = new Map<string, number>();
+  /** Images that a machine held by the word of the last leader. */
+  readonly heldBefore = new Map<string, { image: string; gb: number }[]>();
   /** Keys below the live jobs that belong to none. */
   readonly orphans: string[] = [];
   readonly ledger = new Ledger();
@@ -189,7 +191,7 @@
   }
 
   private loadMachine(id: string, [type, zone, spot, returning, since]: RosterEntry): void {
-    const m = this.machines.get(id) ?? new Machine(id, type, zone, spot === 1);
+    const m = this.machines.get(id) ?? this.newMachine(id, { type, zone, spot: spot === 1 });
     m.inRoster = true;
     m.returning = m.returnCommitted = returning === 1;
     m.since = this.rt.now - Math.max(0, this.rt.today.getTime() - since * 1000);
@@ -316,7 +318,7 @@
   private machineOf(report: WorkerReport): Machine {
     let m = this.machines.get(report.machine);
     if (!m) {
-      m = new Machine(report.machine, report.type, report.zone, report.spot);
+      m = this.newMachine(report.machine, report);
       // Not in the roster, so no term has ever sent a start to it.
       m.resolved = true;
       this.machines.set(m.id, m);
@@ -325,6 +327,12 @@
     return m;
   }
 
+  private newMachine(id: string, place: Place): Machine {
+    const m = new Machine(id, place.type, place.zone, place.spot);
+    for (const { image, gb } of this.heldBefore.get(id) ?? []) m.noteImage(image, gb);
+    return m;
+  }
+
   private absorb(report: WorkerReport): void {
     const m = this.machineOf(report);
     if (report.session > m.session) this.endAll(m, 'session ended');
@@ -376,7 +384,7 @@
   }
 
   private noteStart(m: Machine, b: Binding): void {
-    if (b.image !== null) m.noteImage(b.image);
+    if (b.image !== null) m.noteImage(b.image, b.imageGb);
     if (b.runningSince !== null) return;
     b.runningSince = this.rt.now;
     if (b.phase === 'seen' && b.sentSeq > 0) {
@@ -446,6 +454,7 @@
       team: job?.spec.team ?? '',
       size: job ? need(job.spec) : NOTHING,
       image: job?.spec.image ?? null,
+      imageGb: job?.spec.imageGb ?? 0,
       phase: 'seen',
       bookedAt: this.rt.now,
       sentSession: 0,
@@ -589,6 +598,7 @@
       team: job.spec.team,
       size: need(job.spec),
       image: job.spec.image,
+      imageGb: job.spec.imageGb,
       phase: 'booked',
       bookedAt: this.rt.now,
       sentSession: 0,
@@ -655,12 +665,17 @@
   }
 
   private sweep(): void {
+    // While the lease is in doubt nothing is heard, so silence means nothing.
+    if (!this.leadership.held()) return;
     this.noteReady();
     const needs = [...this.jobs.values()].map((job) => need(job.spec));
     this.smallest = needs.length > 0 ? needs.reduce(least) : NOTHING;
+    const ranOut = [...this.machines.values()].filter((m) => this.checkLease(m)).map((m) => m.id);
+    if (ranOut.length > 0) {
+      this.rt.env.log('info', { machines: ranOut }, 'leases of silent machines ran out');
+    }
     for (const m of this.machines.values()) {
       m.accumulate(1000);
-      this.checkLease(m);
       const patience = this.rt.settings.reportEvery * BOOKING_PATIENCE;
       const silent = this.rt.now - (m.lastCounted ?? this.acquired) > patience;
       if (silent || m.returning || m.noticeUntil !== null) this.unbookAll(m);
@@ -669,17 +684,18 @@
     }
   }
 
-  /** A worker without an answer for its whole lease has killed all its tasks. */
-  private checkLease(m: Machine): void {
-    if (!this.loaded) return;
-    if (this.rt.now < this.leaseEnd(m.lastHeard ?? this.acquired)) return;
-    if (!m.resolved || m.bindings.size > 0) {
-      this.rt.env.log('info', { machine: m.id }, 'lease of a silent machine ran out');
-    }
+  /**
+   * A worker without an answer for its whole lease has killed all its tasks. True
+   * if that was the proof of anything.
+   */
+  private checkLease(m: Machine): boolean {
+    if (!this.loaded || this.rt.now < this.leaseEnd(m.lastHeard ?? this.acquired)) return false;
+    const news = !m.resolved || m.bindings.size > 0;
     this.endAll(m, 'lease ran out');
     m.resolved = true;
     // Never enrolled, so without tasks: what a late copy of a report told of.
     if (!m.inRoster && m.bindings.size === 0) this.machines.delete(m.id);
+    return news;
   }
 
   /** The roster gets a machine before the machine gets its first start. */
