--- a/packages/controller/src/placer.ts
+++ b/packages/controller/src/placer.ts
@@ -33,6 +33,8 @@
 /** Fetches run at their type's rate, give or take a third; a start takes a moment as well. */
 const FETCH_SLACK = 4 / 3;
 const START_TIME = 1000;
+/** Part of a fetch's time that a holder is waited for. */
+const HOLDER_PART = 1 / 4;
 /** A pass that books more goes on in the next one: reports are answered in between. */
 const MOST_BOOKINGS = 300;
 /** Plans to make room look at every task of every machine. */
@@ -183,6 +185,8 @@
         return this.noFit(job, waiting.slice(at), pass, desks);
       }
       if (this.waitsForHolder(job, chosen, desks, pass)) continue;
+      if (this.holderMayCome(job, chosen, desks)) return;
+      if (chosen.machine.images.has(job.spec.image)) job.holderWait = this.rt.now;
       this.term.book(job, task.index, chosen.machine, sheltered);
       pass.bookings++;
       job.starvedSince = null;
@@ -315,6 +319,25 @@
     return holder !== undefined;
   }
 
+  /**
+   * Holders of the image are busy, and there are enough of them: for a part of the
+   * time that a fetch takes, the next room on one of them is worth waiting for. Work
+   * whose image the other machines hold gets their room meanwhile.
+   */
+  private holderMayCome(job: LiveJob, chosen: Desk, desks: Desk[]): boolean {
+    const { images, fetching } = chosen.machine;
+    const { image, imageGb } = job.spec;
+    if (images.has(image) || fetching.has(image)) return false;
+    job.holderWait ??= this.rt.now;
+    const worth = fetchTime(imageGb, chosen.type) * HOLDER_PART;
+    const window = Math.min(this.rt.operator.window.lambda, worth);
+    if (this.rt.now - job.holderWait >= window) return false;
+    const wanted = need(job.spec);
+    let held = 0;
+    for (const d of desks) if (d.machine.images.has(image)) held += slots(wanted, d.type);
+    return held >= job.open.size;
+  }
+
   /** Within what time tasks of the class should start. */
   private aimFor(job: LiveJob): number {
     let least = Infinity;
