--- a/packages/controller/src/placer.ts
+++ b/packages/controller/src/placer.ts
@@ -33,6 +33,8 @@
 /** Fetches run at their type's rate, give or take a third; a start takes a moment as well. */
 const FETCH_SLACK = 4 / 3;
 const START_TIME = 1000;
+/** Room is scarce for so long after a task found none. */
+const SCARCE_FOR = 10_000;
 /** Part of a fetch's time that a holder is waited for. */
 const HOLDER_PART = 1 / 4;
 /** A pass that books more goes on in the next one: reports are answered in between. */
@@ -58,6 +60,8 @@
 export class Placer {
   /** Coming room that this pass keeps for a team's tasks. */
   private readonly promised = new Map<string, Resources>();
+  /** When a task last found no room at all. */
+  private lastFull: Instant = -Infinity;
   /** Jobs within their team's guarantee. */
   private inside: ReadonlySet<string> = new Set();
   /** Machines not accounted for may be full of any team's tasks. */
@@ -182,6 +186,7 @@
       const chosen = volunteers.choose();
       if (!chosen) {
         pass.full.add(demand);
+        this.lastFull = this.rt.now;
         return this.noFit(job, waiting.slice(at), pass, desks);
       }
       if (this.waitsForHolder(job, chosen, desks, pass)) continue;
@@ -320,18 +325,21 @@
   }
 
   /**
-   * Holders of the image are busy, and there are enough of them: for a part of the
-   * time that a fetch takes, the next room on one of them is worth waiting for. Work
-   * whose image the other machines hold gets their room meanwhile.
+   * Room is scarce, and holders of the image are busy, but there are enough of them:
+   * for a part of the time that a fetch takes, the next room on one of them is worth
+   * waiting for. Work whose image the other machines hold gets their room meanwhile.
    */
   private holderMayCome(job: LiveJob, chosen: Desk, desks: Desk[]): boolean {
     const { images, fetching } = chosen.machine;
     const { image, imageGb } = job.spec;
     if (images.has(image) || fetching.has(image)) return false;
+    // With room to spare, a start that fetches takes nothing from others.
+    if (this.rt.now - this.lastFull > SCARCE_FOR) return false;
     job.holderWait ??= this.rt.now;
-    const worth = fetchTime(imageGb, chosen.type) * HOLDER_PART;
-    const window = Math.min(this.rt.operator.window.lambda, worth);
+    const fetch = fetchTime(imageGb, chosen.type);
+    const window = Math.min(this.rt.operator.window.lambda, fetch * HOLDER_PART);
     if (this.rt.now - job.holderWait >= window) return false;
+    if (this.dueOf(job, this.inside.has(job.id)) - this.rt.now < fetch + window) return false;
     const wanted = need(job.spec);
     let held = 0;
     for (const d of desks) if (d.machine.images.has(image)) held += slots(wanted, d.type);
