--- a/packages/testing/src/troubles.test.ts
+++ b/packages/testing/src/troubles.test.ts
@@ -210,7 +210,7 @@
 });
 
 test('work waits a moment for a busy holder of its image, but not for long', () => {
-  const world = settled({ runTime: 4000 }, 2);
+  const world = settled({ capacity: 2, runTime: 4000 }, 2);
   const large = { batch: 4, image_gb: 16, hall: 'b' };
   world.submit(job(1, large), 'n-0');
   assert.ok(finished(world, A));
