--- a/packages/adapters/src/peer-link.ts
+++ b/packages/adapters/src/peer-link.ts
@@ -19,6 +19,7 @@
 export interface PeerEvents {
   beat(message: Extract<PeerMessage, { kind: 'beat' }>): void;
   told(message: Told): void;
+  refused(member: string): void;
   ask(
     message: Extract<PeerMessage, { kind: 'ask' }>,
     respond: (status: number, body: unknown) => void,
@@ -95,6 +96,9 @@
       this.sockets.set(peer.member, socket);
       this.log('debug', { peer: peer.member }, 'peer connected');
     });
+    socket.on('error', (error: NodeJS.ErrnoException) => {
+      if (error.code === 'ECONNREFUSED') this.events.refused(peer.member);
+    });
     socket.on('close', () => {
       clearTimeout(giveUp);
       if (this.sockets.get(peer.member) === socket) this.sockets.delete(peer.member);
--- a/packages/adapters/src/service.ts
+++ b/packages/adapters/src/service.ts
@@ -61,6 +61,7 @@
       {
         beat: (m) => this.push({ ...m }),
         told: (message) => this.push({ kind: 'told', message }),
+        refused: (member) => this.push({ kind: 'refused', member }),
         ask: (m, respond) =>
           this.request('peer', m.method, m.path, m.body, (r) => respond(r.status, r.body)),
       },
--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -15,6 +15,7 @@
 import { FleetKeeper } from './fleet-keeper.js';
 import { HeldAnswers } from './held-answers.js';
 import { hintsOf, useHints } from './hints.js';
+import { Keeper } from './keeper.js';
 import { Leadership } from './leadership.js';
 import { Peers } from './peers.js';
 import { Placer } from './placer.js';
@@ -50,10 +51,11 @@
   private readonly catalog: Catalog;
   private readonly peers: Peers;
   private readonly requests: Requests;
+  private readonly keeper: Keeper;
   private term: Term | null = null;
   private held: HeldAnswers | null = null;
   /** Reports that wait for an election. */
-  private readonly parked = new Map<number, Request>();
+  private readonly parked = new Map<number, { request: Request; report: WorkerReport }>();
   private startedAt: Instant | null = null;
 
   constructor(env: Environment) {
@@ -70,6 +72,9 @@
     this.requests = new Requests(this.rt, this.state, this.catalog, this.peers, (id) =>
       this.peers.countsOf(id),
     );
+    this.keeper = new Keeper(this.rt, this.state, this.leadership, this.peers, (job, done) =>
+      this.requests.proveLive(job, done),
+    );
   }
 
   process(commands: Command[], now: Instant, today: Date): Effect[] {
@@ -111,6 +116,7 @@
     if (command.kind === 'result') this.rt.settle(command.id, command.result);
     else if (command.kind === 'beat') this.peers.hear(command);
     else if (command.kind === 'told') this.peers.hearTold(command.message);
+    else if (command.kind === 'refused') this.peers.noteRefused(command.member);
     else if (command.kind === 'request') this.route(command);
   }
 
@@ -229,7 +235,7 @@
     }
     this.leadership.outranked(report.token);
     const held = this.leadership.held();
-    if (!held || !this.term) return this.redirect(request);
+    if (!held || !this.term) return this.redirect(request, report);
     const { counted, orders } = this.term.report(report);
     this.rt.stats.count(counted ? 'reports.counted' : 'reports.ignored');
     // Only a newer report shows that the one before was given up; a late copy does not.
@@ -254,12 +260,23 @@
    * it. While there is none, the report waits for the election for a moment: a
    * thousand workers that go round the nodes once a second would slow it down.
    */
-  private redirect(request: Request): void {
+  private redirect(request: Request, report: WorkerReport): void {
     const leader = this.liveLeader();
-    if (leader === null && this.mayPark()) return this.park(request);
+    if (leader === null && this.keeper.mayKeep) return this.keep(request, report);
+    if (leader === null && this.mayPark()) return this.park(request, report);
     this.sendOn(request.id, leader);
   }
 
+  private keep(request: Request, report: WorkerReport): void {
+    this.keeper.keep(report, (status, body, validUntil) =>
+      this.rt.reply(request.id, {
+        status,
+        body,
+        ...(validUntil === undefined ? {} : { validUntil }),
+      }),
+    );
+  }
+
   private liveLeader(): string | null {
     const leader = this.leadership.leader;
     return leader !== null && this.peers.alive(leader) ? leader : null;
@@ -275,24 +292,27 @@
     return !this.state.doubtful && this.parked.size < this.rt.settings.maxConnections / 2;
   }
 
-  private park(request: Request): void {
-    this.parked.set(request.id, request);
+  private park(request: Request, report: WorkerReport): void {
+    this.parked.set(request.id, { request, report });
     this.rt.stats.count('reports.parked');
     this.rt.after(PARK, () => {
       if (this.parked.delete(request.id)) this.sendOn(request.id, this.liveLeader());
     });
   }
 
-  /** Somebody leads, or this node can't tell any more. */
+  /** Somebody leads, or a leader behind a cut does, or this node can't tell any more. */
   private unpark(): void {
     if (this.parked.size === 0) return;
     const leads = this.leadership.held() !== null && this.term !== null;
-    if (!leads && this.liveLeader() === null && !this.state.doubtful) return;
+    const leader = this.liveLeader();
+    const keeps = !leads && leader === null && this.keeper.mayKeep;
+    if (!leads && !keeps && leader === null && !this.state.doubtful) return;
     const waiting = [...this.parked.values()];
     this.parked.clear();
-    for (const request of waiting) {
+    for (const { request, report } of waiting) {
       if (leads) this.hello(request);
-      else this.sendOn(request.id, this.liveLeader());
+      else if (keeps) this.keep(request, report);
+      else this.sendOn(request.id, leader);
     }
   }
 }
--- /dev/null
+++ b/packages/controller/src/keeper.ts
@@ -0,0 +1,125 @@
+import { renderReportAnswer, splitTaskId, type Instant, type WorkerReport } from '@tealdock/wire';
+import { KEEPER_PREFIX, LEADER_KEY, type GrantValue } from './keys.js';
+import type { Leadership } from './leadership.js';
+import type { Peers } from './peers.js';
+import { PRIORITY } from './ports.js';
+import type { Runtime } from './runtime.js';
+import type { StateStore } from './state-store.js';
+
+/** A grant allows answers for this long from the moment it was asked for. */
+export const GRANT_LIFE = 6000;
+const GRANT_MARGIN = 100;
+const DRIFT = 0.001;
+/** It is renewed when less than this is left. */
+const RENEW_AT = 3000;
+/** How long a leader's beats must be missing; a dead one's key is mostly gone by then. */
+const SILENCE = 6500;
+/** A job that was live at most this long ago may keep its workers. */
+const PROOF_LIFE = 2000;
+
+type Answer = (status: 200 | 421, body: unknown, validUntil?: Instant) => void;
+
+interface Grant {
+  token: number;
+  until: Instant;
+}
+
+/**
+ * Keeps workers' leases alive while a cut between zones parts them from a leader
+ * that still leads. A grant in the state service, guarded by the leader's key, lets
+ * this node answer reports with the leader's token and without orders; leaders look
+ * for grants before they call a machine silent (docs/safety.md). A worker with a task
+ * of a job that is not live is not kept, so nothing cancelled runs on.
+ */
+export class Keeper {
+  private grant: Grant | null = null;
+  private asking = false;
+  private readonly waiting: (() => void)[] = [];
+  private readonly proven = new Map<string, Instant>();
+
+  constructor(
+    private readonly rt: Runtime,
+    private readonly state: StateStore,
+    private readonly leadership: Leadership,
+    private readonly peers: Peers,
+    private readonly proveLive: (job: string, done: (live: boolean) => void) => void,
+  ) {}
+
+  /** The leader's key stands though nothing has been heard of it for a while. */
+  get mayKeep(): boolean {
+    const { leader, leaderVersion } = this.leadership;
+    if (leader === null || leaderVersion === null || this.state.doubtful) return false;
+    if (leader === this.rt.settings.member || this.peers.refusedLately(leader)) return false;
+    return this.rt.now - this.peers.lastHeard(leader) > SILENCE;
+  }
+
+  keep(report: WorkerReport, answer: Answer): void {
+    this.withGrant((grant) => {
+      if (!grant || report.token > grant.token) return answer(421, {});
+      this.proveAll(jobsOf(report), (live) => {
+        if (!live) return answer(421, {});
+        this.rt.stats.count('reports.kept');
+        answer(200, renderReportAnswer(grant.token, []), grant.until);
+      });
+    });
+  }
+
+  // --- grants ----------------------------------------------------------------
+
+  private withGrant(use: (grant: Grant | null) => void): void {
+    const current = this.grant?.token === this.leadership.leaderVersion ? this.grant : null;
+    const left = (current?.until ?? -Infinity) - this.rt.now;
+    if (left < RENEW_AT) this.ask();
+    if (left > 0) return use(current);
+    this.waiting.push(() => use(this.grant));
+  }
+
+  private ask(): void {
+    if (this.asking) return;
+    this.asking = true;
+    const token = this.leadership.leaderVersion ?? 0;
+    const sent = this.rt.now;
+    const value: GrantValue = { token, at: this.rt.today.getTime() };
+    const write = { put: `${KEEPER_PREFIX}${this.rt.settings.member}`, value };
+    const guards = [{ key: LEADER_KEY, version: token }];
+    this.state.commit(guards, [write], PRIORITY.lease, (committed) => {
+      this.asking = false;
+      // Counted from the send, so that it ends here before it ends for any leader.
+      const until = sent + GRANT_LIFE * (1 - DRIFT) - GRANT_MARGIN;
+      this.grant = committed.kind === 'ok' ? { token, until } : null;
+      this.rt.env.log('info', { token, granted: this.grant !== null }, 'grant to keep workers');
+      for (const go of this.waiting.splice(0)) go();
+    });
+  }
+
+  // --- jobs ------------------------------------------------------------------
+
+  private proveAll(jobs: string[], done: (live: boolean) => void): void {
+    const open = jobs.filter((job) => !this.provenLately(job));
+    let left = open.length;
+    if (left === 0) return done(true);
+    let all = true;
+    for (const job of open) {
+      const asked = this.rt.now;
+      this.proveLive(job, (live) => {
+        if (live) this.proven.set(job, asked);
+        all &&= live;
+        if (--left === 0) done(all);
+      });
+    }
+  }
+
+  private provenLately(job: string): boolean {
+    const at = this.proven.get(job);
+    if (at === undefined) return false;
+    if (this.rt.now - at <= PROOF_LIFE) return true;
+    this.proven.delete(job);
+    return false;
+  }
+}
+
+/** Jobs of the tasks that are still on the machine. */
+function jobsOf(report: WorkerReport): string[] {
+  const present = report.tasks.filter((t) => t.state !== 'exited');
+  return [...new Set(present.map((t) => splitTaskId(t.task)?.job ?? t.task))];
+}
--- a/packages/controller/src/keys.ts
+++ b/packages/controller/src/keys.ts
@@ -8,6 +8,7 @@
 export const typeKey = (type: string): string => `${CATALOG_PREFIX}${encodeURIComponent(type)}`;
 export const LIVE_PREFIX = `${ROOT}live/`;
 export const ROSTER_PREFIX = `${ROOT}roster/`;
+export const KEEPER_PREFIX = `${ROOT}keeper/`;
 export const PROGRESS_PREFIX = `${ROOT}progress/`;
 
 export const specKey = (job: string): string => `${LIVE_PREFIX}${job}/spec`;
@@ -27,6 +28,12 @@
   member: string;
   nonce: string;
 }
+/** That a node may keep workers' leases under the leader's token; see keeper.ts. */
+export interface GrantValue {
+  token: number;
+  /** Time of day at which it was asked for, in ms. */
+  at: number;
+}
 export interface LiveValue {
   spec: JobSpec;
   /** Time of day of the submission, in ms. */
--- a/packages/controller/src/leadership.ts
+++ b/packages/controller/src/leadership.ts
@@ -27,6 +27,8 @@
 export class Leadership {
   /** Member that the key names, as last read; null when unknown. */
   leader: string | null = null;
+  /** Version of the key as last read, which is the leader's token. */
+  leaderVersion: number | null = null;
   private lease: number | null = null;
   private leaseUntil: Instant = 0;
   private token: number | null = null;
@@ -131,6 +133,7 @@
 
   private seeVacant(): void {
     this.leader = null;
+    this.leaderVersion = null;
     if (this.token !== null) this.lose();
     if (this.electing || this.rt.now < this.standBackUntil) return;
     this.elect(0, this.rt.env.random() * 200);
@@ -139,6 +142,7 @@
   private seeHolder(value: LeaderValue, version: number): void {
     const own = value.member === this.rt.settings.member;
     this.leader = value.member;
+    this.leaderVersion = version;
     if (version === this.token) return;
     if (this.token !== null) this.lose();
     if (!own || this.electing) return;
--- a/packages/controller/src/peers.ts
+++ b/packages/controller/src/peers.ts
@@ -5,6 +5,7 @@
 const BEAT_EVERY = 1000;
 const FRESH = 3200;
 const ASK_TIMEOUT = 2000;
+const REFUSED_FRESH = 5000;
 
 export type JobCounts = Pick<JobCount, 'done' | 'running'>;
 
@@ -16,11 +17,14 @@
 
   /** What the last leader had learnt, as far as this node was told. */
   hints: Hints | null = null;
+  private readonly refused = new Map<string, Instant>();
+  private started: Instant = 0;
   private counts = new Map<string, JobCounts>();
 
   constructor(private readonly rt: Runtime) {}
 
   start(tell: () => void): void {
+    this.started = this.rt.now;
     this.rt.every(BEAT_EVERY, () => {
       tell();
       return true;
@@ -41,6 +45,19 @@
     return this.counts.get(job);
   }
 
+  /** A connection to it was refused: its host answers, so no cut lies between. */
+  noteRefused(member: string): void {
+    this.refused.set(member, this.rt.now);
+  }
+
+  refusedLately(member: string): boolean {
+    return this.rt.now - (this.refused.get(member) ?? -Infinity) < REFUSED_FRESH;
+  }
+
+  lastHeard(member: string): Instant {
+    return this.beats.get(member)?.heard ?? this.started;
+  }
+
   alive(member: string): boolean {
     const known = this.beats.get(member);
     return known !== undefined && this.rt.now - known.heard <= FRESH;
--- a/packages/controller/src/ports.ts
+++ b/packages/controller/src/ports.ts
@@ -6,6 +6,7 @@
   | { kind: 'result'; id: number; result: CallResult }
   | { kind: 'beat'; member: string; leader: string; token: number; stateOk: boolean }
   | { kind: 'told'; message: Told }
+  | { kind: 'refused'; member: string }
   | { kind: 'tick' };
 
 export type Via = 'public' | 'peer';
--- a/packages/controller/src/requests.ts
+++ b/packages/controller/src/requests.ts
@@ -112,6 +112,12 @@
     if (!proven) this.read(id, answer);
   }
 
+  /** Whether the job was live at some moment after this was asked. */
+  proveLive(id: string, done: (live: boolean) => void): void {
+    const proven = this.proofs.ask(id, (proof) => done(proof === 'live'));
+    if (!proven) this.look(id, (known) => done(known.kind === 'live'));
+  }
+
   private read(id: string, answer: Answer): void {
     this.look(id, (known) => answer(this.replyFor(id, known, refuse(404, 'no such job'))));
   }
--- a/packages/controller/src/term.ts
+++ b/packages/controller/src/term.ts
@@ -12,7 +12,9 @@
   type WorkerReport,
 } from '@tealdock/wire';
 import { NOTHING, fits, least, need, type Place, type Resources } from '@tealdock/scheduler';
+import { GRANT_LIFE } from './keeper.js';
 import {
+  KEEPER_PREFIX,
   LIVE_PREFIX,
   PROGRESS_PREFIX,
   ROSTER_PREFIX,
@@ -21,6 +23,7 @@
   splitLiveKey,
   splitProgressEntry,
   type EndedValue,
+  type GrantValue,
   type RosterEntry,
 } from './keys.js';
 import type { Leadership } from './leadership.js';
@@ -44,6 +47,8 @@
 const MACHINE_FAILURES = 3;
 const ASIDE = 120_000;
 const MOST_GONE = 5000;
+/** A grant that was asked for this long ago is over; the rest is for clocks that are off. */
+const GRANT_STALE = 60_000;
 /** Machines that join within this time share a commit. */
 const JOIN_GATHER = 150;
 /** How long a machine is put aside whose start never showed up; fourfold each time. */
@@ -82,6 +87,10 @@
   /** Less than this is asked for by no task of a live job. */
   private smallest: Resources = NOTHING;
   private wasReady = false;
+  /** Until when any node may have kept workers under a grant. */
+  private keptUntil: Instant = -Infinity;
+  private readonly grantsSeen = new Map<string, number>();
+  private readingGrants = false;
   private readonly gone = new Set<string>();
   private readonly early = new Map<string, WorkerReport>();
   private readonly lookups = new Map<string, Binding[]>();
@@ -670,10 +679,7 @@
     this.noteReady();
     const needs = [...this.jobs.values()].map((job) => need(job.spec));
     this.smallest = needs.length > 0 ? needs.reduce(least) : NOTHING;
-    const ranOut = [...this.machines.values()].filter((m) => this.checkLease(m)).map((m) => m.id);
-    if (ranOut.length > 0) {
-      this.rt.env.log('info', { machines: ranOut }, 'leases of silent machines ran out');
-    }
+    this.findSilent();
     for (const m of this.machines.values()) {
       m.accumulate(1000);
       const patience = this.rt.settings.reportEvery * BOOKING_PATIENCE;
@@ -685,17 +691,54 @@
   }
 
   /**
-   * A worker without an answer for its whole lease has killed all its tasks. True
-   * if that was the proof of anything.
+   * A worker without an answer for its whole lease has killed all its tasks. Another
+   * node may have answered it under a grant, so grants are read first: one that this
+   * read does not show was given after the lease was over.
    */
-  private checkLease(m: Machine): boolean {
-    if (!this.loaded || this.rt.now < this.leaseEnd(m.lastHeard ?? this.acquired)) return false;
-    const news = !m.resolved || m.bindings.size > 0;
-    this.endAll(m, 'lease ran out');
-    m.resolved = true;
-    // Never enrolled, so without tasks: what a late copy of a report told of.
-    if (!m.inRoster && m.bindings.size === 0) this.machines.delete(m.id);
-    return news;
+  private findSilent(): void {
+    if (!this.loaded || this.readingGrants) return;
+    const silent = [...this.machines.values()].some((m) => this.silentSince(m, this.rt.now));
+    if (!silent) return;
+    this.readingGrants = true;
+    const asked = this.rt.now;
+    this.state.readAll(KEEPER_PREFIX, PRIORITY.leader, (grants) => {
+      this.readingGrants = false;
+      if (!grants || this.closed) return;
+      for (const item of grants.items) this.noteGrant(item);
+      this.endSilent(asked);
+    });
+  }
+
+  private noteGrant({ key, value, version }: StateItem): void {
+    if (this.grantsSeen.get(key) === version) return;
+    this.grantsSeen.set(key, version);
+    const age = this.rt.today.getTime() - ((value as GrantValue | null)?.at ?? Infinity);
+    if (age > GRANT_STALE + 2 * this.rt.settings.clockError) return;
+    this.keptUntil = Math.max(this.keptUntil, this.rt.now + GRANT_LIFE * LEASE_STRETCH);
+  }
+
+  private endSilent(asked: Instant): void {
+    const ranOut = [...this.machines.values()].filter((m) => this.silentSince(m, asked));
+    if (ranOut.length === 0) return;
+    const machines = ranOut.map((m) => m.id);
+    this.rt.env.log('info', { machines }, 'leases of silent machines ran out');
+    for (const m of ranOut) {
+      this.endAll(m, 'lease ran out');
+      m.resolved = true;
+      // Never enrolled, so without tasks: what a late copy of a report told of.
+      if (!m.inRoster && m.bindings.size === 0) this.machines.delete(m.id);
+    }
+  }
+
+  /** Its lease was surely over at that instant, and something depends on it. */
+  private silentSince(m: Machine, instant: Instant): boolean {
+    const matters = !m.resolved || m.bindings.size > 0 || !m.inRoster;
+    return matters && instant >= this.leaseEnd(this.lastAnswer(m));
+  }
+
+  /** The latest moment at which anybody may have answered the machine. */
+  lastAnswer(m: Machine): Instant {
+    return Math.max(m.lastHeard ?? this.acquired, this.keptUntil);
   }
 
   /** The roster gets a machine before the machine gets its first start. */
--- a/packages/testing/src/faults.test.ts
+++ b/packages/testing/src/faults.test.ts
@@ -73,6 +73,12 @@
   world.at(world.random() * 30_000, () => world.cuts.clear());
 }
 
+function part(world: World): void {
+  const machines = [...world.workers.values()].filter((w) => w.machine.zone === 'b');
+  world.part([pick(world, world.nodes)!, ...machines.map((w) => w.machine.id)]);
+  world.at(world.random() * 45_000, () => world.cuts.clear());
+}
+
 function reboot(world: World): void {
   pick(world, [...world.workers.values()])?.reboot();
 }
@@ -97,6 +103,8 @@
   deafen,
   copies,
   isolate,
+  part,
+  part,
   reboot,
   blink,
 ];
--- a/packages/testing/src/world.ts
+++ b/packages/testing/src/world.ts
@@ -344,6 +344,23 @@
     for (const n of NODES) this.cuts.add(`${n}>${machine}`);
   }
 
+  /** A connection from one node to another is refused. */
+  refuse(from: string, to: string): void {
+    const node = this.alive.get(from);
+    if (node) this.push(node, { kind: 'refused', member: to });
+  }
+
+  /** Cuts these nodes and machines off from all others, but from nothing regional. */
+  part(side: string[]): void {
+    const others = [...NODES, ...this.workers.keys()].filter((name) => !side.includes(name));
+    for (const here of side) {
+      for (const there of others) {
+        this.cuts.add(`${here}>${there}`);
+        this.cuts.add(`${there}>${here}`);
+      }
+    }
+  }
+
   undeafen(machine: string): void {
     for (const n of NODES) this.cuts.delete(`${n}>${machine}`);
   }
