--- a/packages/testing/src/stories.test.ts
+++ b/packages/testing/src/stories.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import type { StatsView } from '@tealdock/controller';
 import { packBody } from '@tealdock/wire';
 import { job, World } from './index.js';
 import { A, ask, finished, keepsRules, others, running, settled, status } from './story.js';
@@ -404,6 +405,19 @@
   keepsRules(world);
 });
 
+test('a controller shows what it has counted and how long things took', () => {
+  const world = settled();
+  world.submit(job(1, { batch: 4 }), 'n-0');
+  assert.ok(finished(world, A));
+  const reply = world.raw(world.leader()!, 'GET', '/metrics', Buffer.alloc(0));
+  const { counters, histograms } = reply?.body as StatsView;
+  assert.ok(counters['reports.counted']! > 4);
+  assert.equal(counters['bindings.ended.done'], 4);
+  assert.equal(histograms['starts.booked_to_sent_ms']?.count, 4);
+  assert.ok(histograms['takeover.ready_ms']!.max > 0);
+  assert.equal(world.raw('n-0', 'POST', '/metrics', Buffer.alloc(0))?.status, 405);
+});
+
 /** Tasks that a shard of the progress table calls done. */
 function doneIn(value: unknown): number {
   const bits = Object.values((value as { entries: Record<string, string> }).entries).join('');
