--- a/packages/controller/src/fleet-keeper.ts
+++ b/packages/controller/src/fleet-keeper.ts
@@ -45,7 +45,7 @@
 const SILENT_PATIENCE = 8000;
 const SILENT_PART = 0.05;
 /** And this few even sooner: whoever waits for them waits for the whole roster. */
-const FEW_PATIENCE = 3500;
+const FEW_PATIENCE = 2000;
 const FEW_PART = 0.01;
 /** Renting goes on after this even if some of the roster is not accounted for. */
 const REBUILD_PATIENCE = 15_000;
