--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -137,7 +137,7 @@
 
   /** What a successor may start from; nothing depends on its being right. */
   private tellHints(): void {
-    if (!this.term?.loaded || !this.leadership.held()) return;
+    if (!this.term?.ready || !this.leadership.held()) return;
     this.tell({ kind: 'hints', ...hintsOf(this.term) });
   }
 
--- a/packages/controller/src/fleet-keeper.ts
+++ b/packages/controller/src/fleet-keeper.ts
@@ -34,7 +34,7 @@
 
 const LIST_EVERY = 5000;
 /** While a new term waits for its roster: lists tell what has vanished. */
-const LIST_SOON = 1500;
+const LIST_SOON = 3000;
 const RENT_EVERY = 1000;
 const CALL_TIMEOUT = 4000;
 const REFUSED_FOR = 15_000;
--- a/packages/controller/src/placer.ts
+++ b/packages/controller/src/placer.ts
@@ -21,6 +21,7 @@
 import { typeOf, type Term } from './term.js';
 
 const PASS_EVERY = 100;
+const REBUILD_PASS_EVERY = 400;
 /** What stopping a task and starting another in its place takes. */
 const STOP_TIME = 4000;
 /** How long before an aim, or after how long without room, a guarantee is reclaimed. */
@@ -60,6 +61,7 @@
 export class Placer {
   /** Coming room that this pass keeps for a team's tasks. */
   private readonly promised = new Map<string, Resources>();
+  private lastPass: Instant = -Infinity;
   /** When a task last found no room at all. */
   private lastFull: Instant = -Infinity;
   /** Jobs within their team's guarantee. */
@@ -85,6 +87,9 @@
 
   private pass(): void {
     if (!this.term.loaded) return;
+    // A thousand reports come first: until they are in, only new jobs can be placed.
+    if (!this.term.ready && this.rt.now - this.lastPass < REBUILD_PASS_EVERY) return;
+    this.lastPass = this.rt.now;
     for (const job of this.term.jobs.values()) job.release(this.rt.now);
     if (!this.term.settled) return;
     this.rescue();
--- a/packages/controller/src/term.ts
+++ b/packages/controller/src/term.ts
@@ -132,7 +132,9 @@
   }
 
   unresolved(): Machine[] {
-    return [...this.machines.values()].filter((m) => !m.resolved);
+    const open: Machine[] = [];
+    for (const m of this.machines.values()) if (!m.resolved) open.push(m);
+    return open;
   }
 
   /**
