--- a/packages/controller/src/fleet-keeper.ts
+++ b/packages/controller/src/fleet-keeper.ts
@@ -310,7 +310,7 @@
   /** Its reports arrive, or did, but none has counted for a whole lease. */
   private deaf(m: Machine): boolean {
     const since = m.lastCounted ?? Math.max(this.term.acquired, Math.min(m.since, this.rt.now));
-    return m.bindings.size === 0 && this.rt.now > this.term.leaseEnd(since);
+    return m.bindings.size === 0 && this.rt.now > this.term.silence.leaseEnd(since);
   }
 
   private rent(): void {
--- a/packages/controller/src/live-job.ts
+++ b/packages/controller/src/live-job.ts
@@ -23,8 +23,6 @@
   backoffUntil: Instant = 0;
   /** First instant of this term at which a task found no room. */
   starvedSince: Instant | null = null;
-  /** Tasks that run, as last counted for display. */
-  running = 0;
   /** Since when its tasks wait for a holder of the image; starts anew with each that got one. */
   holderWait: Instant | null = null;
   /** When room may be made for it next: plans for that are dear. */
@@ -88,12 +86,13 @@
     return Buffer.from(this.bits.subarray(from, from + CHUNK_TASKS / 8)).toString('base64');
   }
 
+  /** Tasks that run, for display. */
   countRunning(): number {
-    this.running = 0;
+    let running = 0;
     for (const b of this.bound.values()) {
-      if (b.phase === 'seen' && b.state !== 'fetching') this.running++;
+      if (b.phase === 'seen' && b.state !== 'fetching') running++;
     }
-    return this.running;
+    return running;
   }
 
   chunkOf(index: number): number {
--- /dev/null
+++ b/packages/controller/src/silence.ts
@@ -0,0 +1,77 @@
+import type { Instant, StateItem } from '@tealdock/wire';
+import { GRANT_LIFE } from './keeper.js';
+import { KEEPER_PREFIX, type GrantValue } from './keys.js';
+import type { Machine } from './machine.js';
+import { PRIORITY } from './ports.js';
+import type { Runtime } from './runtime.js';
+import type { StateStore } from './state-store.js';
+
+/** Clock drift of twice 0.05%, and a margin for answers under way. */
+const LEASE_STRETCH = 1.001;
+const LEASE_MARGIN = 1500;
+/** A grant that was asked for this long ago is over; the rest is for clocks that are off. */
+const GRANT_STALE = 60_000;
+
+/** What it has to know of a term. */
+interface Roster {
+  readonly machines: ReadonlyMap<string, Machine>;
+  readonly acquired: Instant;
+  readonly closed: boolean;
+}
+
+/**
+ * Finds machines whose lease is surely over. A worker without an answer for its whole
+ * lease has killed all its tasks; another node may have answered it under a grant, so
+ * grants are read first. One that this read does not show was given after the lease
+ * was over (docs/safety.md).
+ */
+export class Silence {
+  /** Until when any node may have kept workers under a grant. */
+  private keptUntil: Instant = -Infinity;
+  private readonly grantsSeen = new Map<string, number>();
+  private reading = false;
+
+  constructor(
+    private readonly rt: Runtime,
+    private readonly state: StateStore,
+    private readonly roster: Roster,
+    private readonly found: (silent: Machine[]) => void,
+  ) {}
+
+  look(): void {
+    if (this.reading || this.silentSince(this.rt.now).length === 0) return;
+    this.reading = true;
+    const asked = this.rt.now;
+    this.state.readAll(KEEPER_PREFIX, PRIORITY.leader, (grants) => {
+      this.reading = false;
+      if (!grants || this.roster.closed) return;
+      for (const item of grants.items) this.noteGrant(item);
+      const silent = this.silentSince(asked);
+      if (silent.length > 0) this.found(silent);
+    });
+  }
+
+  /** The end of a worker's lease if its last answered report was sent at `sent`. */
+  leaseEnd(sent: Instant): Instant {
+    return sent + this.rt.settings.workerLease * LEASE_STRETCH + LEASE_MARGIN;
+  }
+
+  private noteGrant({ key, value, version }: StateItem): void {
+    if (this.grantsSeen.get(key) === version) return;
+    this.grantsSeen.set(key, version);
+    const age = this.rt.today.getTime() - ((value as GrantValue | null)?.at ?? Infinity);
+    if (age > GRANT_STALE + 2 * this.rt.settings.clockError) return;
+    this.keptUntil = Math.max(this.keptUntil, this.rt.now + GRANT_LIFE * LEASE_STRETCH);
+  }
+
+  /** Machines whose lease was over at that instant, where something depends on it. */
+  private silentSince(instant: Instant): Machine[] {
+    const silent: Machine[] = [];
+    for (const m of this.roster.machines.values()) {
+      const matters = !m.resolved || m.bindings.size > 0 || !m.inRoster;
+      const answered = Math.max(m.lastHeard ?? this.roster.acquired, this.keptUntil);
+      if (matters && instant >= this.leaseEnd(answered)) silent.push(m);
+    }
+    return silent;
+  }
+}
--- a/packages/controller/src/term.ts
+++ b/packages/controller/src/term.ts
@@ -12,9 +12,7 @@
   type WorkerReport,
 } from '@tealdock/wire';
 import { NOTHING, fits, least, need, type Place, type Resources } from '@tealdock/scheduler';
-import { GRANT_LIFE } from './keeper.js';
 import {
-  KEEPER_PREFIX,
   LIVE_PREFIX,
   PROGRESS_PREFIX,
   ROSTER_PREFIX,
@@ -23,7 +21,6 @@
   splitLiveKey,
   splitProgressEntry,
   type EndedValue,
-  type GrantValue,
   type RosterEntry,
 } from './keys.js';
 import type { Leadership } from './leadership.js';
@@ -33,13 +30,11 @@
 import { PackedTable } from './packed-table.js';
 import { PRIORITY } from './ports.js';
 import type { Runtime } from './runtime.js';
+import { Silence } from './silence.js';
 import type { StateStore } from './state-store.js';
 
 const RETRY = 400;
 const WATCH_HOLD = 10_000;
-/** Clock drift of twice 0.05%, and a margin for answers under way. */
-const LEASE_STRETCH = 1.001;
-const LEASE_MARGIN = 1500;
 /** Attempts of one term to one task; their numbers never meet another term's. */
 const ATTEMPTS_A_TERM = 65_536;
 /** A booking that the machine does not come for is given to another one. */
@@ -47,8 +42,6 @@
 const MACHINE_FAILURES = 3;
 const ASIDE = 120_000;
 const MOST_GONE = 5000;
-/** A grant that was asked for this long ago is over; the rest is for clocks that are off. */
-const GRANT_STALE = 60_000;
 /** Machines that join within this time share a commit. */
 const JOIN_GATHER = 150;
 /** How long a machine is put aside whose start never showed up; fourfold each time. */
@@ -80,6 +73,7 @@
   /** Keys below the live jobs that belong to none. */
   readonly orphans: string[] = [];
   readonly ledger = new Ledger();
+  readonly silence: Silence;
   readonly roster: PackedTable<RosterEntry>;
   readonly progress: PackedTable<string>;
   /** Machines whose held answer may have got orders. */
@@ -87,10 +81,6 @@
   /** Less than this is asked for by no task of a live job. */
   private smallest: Resources = NOTHING;
   private wasReady = false;
-  /** Until when any node may have kept workers under a grant. */
-  private keptUntil: Instant = -Infinity;
-  private readonly grantsSeen = new Map<string, number>();
-  private readingGrants = false;
   private readonly gone = new Set<string>();
   private readonly early = new Map<string, WorkerReport>();
   private readonly lookups = new Map<string, Binding[]>();
@@ -103,6 +93,7 @@
   ) {
     this.acquired = rt.now;
     this.lastReport = rt.now;
+    this.silence = new Silence(rt, state, this, (silent) => this.endSilent(silent));
     const table = { priority: PRIORITY.leader };
     this.roster = new PackedTable(rt, state, leadership, ROSTER_PREFIX, {
       ...table,
@@ -116,11 +107,6 @@
     });
   }
 
-  /** The end of a worker's lease if its last answered report was sent at `sent`. */
-  leaseEnd(sent: Instant): Instant {
-    return sent + this.rt.settings.workerLease * LEASE_STRETCH + LEASE_MARGIN;
-  }
-
   /** Each machine of the roster is accounted for. */
   get ready(): boolean {
     return this.settled && this.unresolved().length === 0;
@@ -681,7 +667,7 @@
     this.noteReady();
     const needs = [...this.jobs.values()].map((job) => need(job.spec));
     this.smallest = needs.length > 0 ? needs.reduce(least) : NOTHING;
-    this.findSilent();
+    if (this.loaded) this.silence.look();
     for (const m of this.machines.values()) {
       m.accumulate(1000);
       const patience = this.rt.settings.reportEvery * BOOKING_PATIENCE;
@@ -692,39 +678,11 @@
     }
   }
 
-  /**
-   * A worker without an answer for its whole lease has killed all its tasks. Another
-   * node may have answered it under a grant, so grants are read first: one that this
-   * read does not show was given after the lease was over.
-   */
-  private findSilent(): void {
-    if (!this.loaded || this.readingGrants) return;
-    const silent = [...this.machines.values()].some((m) => this.silentSince(m, this.rt.now));
-    if (!silent) return;
-    this.readingGrants = true;
-    const asked = this.rt.now;
-    this.state.readAll(KEEPER_PREFIX, PRIORITY.leader, (grants) => {
-      this.readingGrants = false;
-      if (!grants || this.closed) return;
-      for (const item of grants.items) this.noteGrant(item);
-      this.endSilent(asked);
-    });
-  }
-
-  private noteGrant({ key, value, version }: StateItem): void {
-    if (this.grantsSeen.get(key) === version) return;
-    this.grantsSeen.set(key, version);
-    const age = this.rt.today.getTime() - ((value as GrantValue | null)?.at ?? Infinity);
-    if (age > GRANT_STALE + 2 * this.rt.settings.clockError) return;
-    this.keptUntil = Math.max(this.keptUntil, this.rt.now + GRANT_LIFE * LEASE_STRETCH);
-  }
-
-  private endSilent(asked: Instant): void {
-    const ranOut = [...this.machines.values()].filter((m) => this.silentSince(m, asked));
-    if (ranOut.length === 0) return;
-    const machines = ranOut.map((m) => m.id);
+  /** Their leases are surely over: the workers have killed all they had. */
+  private endSilent(silent: Machine[]): void {
+    const machines = silent.map((m) => m.id);
     this.rt.env.log('info', { machines }, 'leases of silent machines ran out');
-    for (const m of ranOut) {
+    for (const m of silent) {
       this.endAll(m, 'lease ran out');
       m.resolved = true;
       // Never enrolled, so without tasks: what a late copy of a report told of.
@@ -732,17 +690,6 @@
     }
   }
 
-  /** Its lease was surely over at that instant, and something depends on it. */
-  private silentSince(m: Machine, instant: Instant): boolean {
-    const matters = !m.resolved || m.bindings.size > 0 || !m.inRoster;
-    return matters && instant >= this.leaseEnd(this.lastAnswer(m));
-  }
-
-  /** The latest moment at which anybody may have answered the machine. */
-  lastAnswer(m: Machine): Instant {
-    return Math.max(m.lastHeard ?? this.acquired, this.keptUntil);
-  }
-
   /** The roster gets a machine before the machine gets its first start. */
   private join(m: Machine): void {
     if (!m.inRoster && this.roster.get(m.id) === undefined) this.enroll(m);
--- a/packages/wire/src/peers.ts
+++ b/packages/wire/src/peers.ts
@@ -27,69 +27,31 @@
   | { kind: 'ask'; id: number; method: string; path: string; body: Buffer }
   | { kind: 'answer'; id: number; status: number; body: Buffer };
 
-const beat = avsc.Type.forSchema({
-  type: 'record',
-  name: 'Beat',
-  fields: [
-    { name: 'member', type: 'string' },
-    { name: 'leader', type: 'string' },
-    { name: 'token', type: 'long' },
-    { name: 'stateOk', type: 'boolean' },
-  ],
-});
-const counts = avsc.Type.forSchema({
-  type: 'record',
-  name: 'Counts',
-  fields: [
-    {
-      name: 'jobs',
-      type: {
-        type: 'array',
-        items: {
-          type: 'record',
-          name: 'JobCount',
-          fields: [
-            { name: 'id', type: 'string' },
-            { name: 'done', type: 'int' },
-            { name: 'running', type: 'int' },
-          ],
-        },
-      },
-    },
-  ],
-});
 const recordOf = (name: string, fields: Record<string, avsc.Schema>): avsc.Schema => ({
   type: 'record',
   name,
   fields: Object.entries(fields).map(([field, type]) => ({ name: field, type })),
 });
 const listOf = (items: avsc.Schema): avsc.Schema => ({ type: 'array', items });
-const hints = avsc.Type.forSchema(
-  recordOf('Hints', {
-    ratios: listOf(recordOf('ClassRatio', { jobClass: 'string', ratio: 'double' })),
-    images: listOf(recordOf('Image', { image: 'string', gb: 'double' })),
-    machines: listOf(recordOf('Holder', { id: 'string', held: listOf('int') })),
-  }),
-);
-const ask = avsc.Type.forSchema({
-  type: 'record',
-  name: 'Ask',
-  fields: [
-    { name: 'id', type: 'long' },
-    { name: 'method', type: 'string' },
-    { name: 'path', type: 'string' },
-    { name: 'body', type: 'bytes' },
-  ],
+const message = (name: string, fields: Record<string, avsc.Schema>): avsc.Type =>
+  avsc.Type.forSchema(recordOf(name, fields));
+
+const beat = message('Beat', {
+  member: 'string',
+  leader: 'string',
+  token: 'long',
+  stateOk: 'boolean',
 });
-const answer = avsc.Type.forSchema({
-  type: 'record',
-  name: 'Answer',
-  fields: [
-    { name: 'id', type: 'long' },
-    { name: 'status', type: 'int' },
-    { name: 'body', type: 'bytes' },
-  ],
+const counts = message('Counts', {
+  jobs: listOf(recordOf('JobCount', { id: 'string', done: 'int', running: 'int' })),
+});
+const hints = message('Hints', {
+  ratios: listOf(recordOf('ClassRatio', { jobClass: 'string', ratio: 'double' })),
+  images: listOf(recordOf('Image', { image: 'string', gb: 'double' })),
+  machines: listOf(recordOf('Holder', { id: 'string', held: listOf('int') })),
 });
+const ask = message('Ask', { id: 'long', method: 'string', path: 'string', body: 'bytes' });
+const answer = message('Answer', { id: 'long', status: 'int', body: 'bytes' });
 const TYPES = { beat, ask, answer, counts, hints } as const;
 const KINDS = ['beat', 'ask', 'answer', 'counts', 'hints'] as const;
 const HEADER_BYTES = 5;
