--- a/packages/controller/src/fleet-keeper.ts
+++ b/packages/controller/src/fleet-keeper.ts
@@ -34,7 +34,7 @@
 
 const LIST_EVERY = 5000;
 /** While a new term waits for its roster: lists tell what has vanished. */
-const LIST_SOON = 1500;
+const LIST_SOON = 3000;
 const RENT_EVERY = 1000;
 const CALL_TIMEOUT = 4000;
 const REFUSED_FOR = 15_000;
@@ -45,7 +45,7 @@
 const SILENT_PATIENCE = 8000;
 const SILENT_PART = 0.05;
 /** And this few even sooner: whoever waits for them waits for the whole roster. */
-const FEW_PATIENCE = 3500;
+const FEW_PATIENCE = 2000;
 const FEW_PART = 0.01;
 /** Renting goes on after this even if some of the roster is not accounted for. */
 const REBUILD_PATIENCE = 15_000;
@@ -310,7 +310,7 @@
   /** Its reports arrive, or did, but none has counted for a whole lease. */
   private deaf(m: Machine): boolean {
     const since = m.lastCounted ?? Math.max(this.term.acquired, Math.min(m.since, this.rt.now));
-    return m.bindings.size === 0 && this.rt.now > this.term.leaseEnd(since);
+    return m.bindings.size === 0 && this.rt.now > this.term.silence.leaseEnd(since);
   }
 
   private rent(): void {
