A small fleet's last silent machine is not given up early: it was slow, not gone

Cause: with 28 machines the one that had not reported after 2 s of a term was returned, with its tasks.

--- a/packages/controller/src/fleet-keeper.ts
+++ b/packages/controller/src/fleet-keeper.ts
@@ -470,8 +470,11 @@
   private holdsUpTerm(): boolean {
     const age = this.rt.now - this.term.acquired;
     if (age < FEW_PATIENCE) return false;
-    const part = age < SILENT_PATIENCE ? FEW_PART : SILENT_PART;
-    return this.term.unresolved().length <= Math.max(1, this.term.machines.size * part);
+    const silent = this.term.unresolved().length;
+    const all = this.term.machines.size;
+    // In a small fleet the last one is more likely slow than gone, and dear to lose.
+    if (age < SILENT_PATIENCE) return silent <= all * FEW_PART;
+    return silent <= Math.max(1, all * SILENT_PART);
   }
 
   private idleLongEnough(m: Machine): boolean {
