A controller that is back at once waits for its address instead of ending

The one way that leads there at a start is an address in use, which a neighbour's outgoing connection can have for a moment.

--- a/packages/adapters/src/http-server.ts
+++ b/packages/adapters/src/http-server.ts
@@ -1,7 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { MAX_BODY_BYTES, packBody } from '@tealdock/wire';
 import type { Reply } from '@tealdock/controller';
-import { splitAddress } from './http-client.js';
+import { listen } from './listen.js';
 
 const IDLE_TIMEOUT = 120_000;
 const REQUEST_TIMEOUT = 10_000;
@@ -27,9 +27,7 @@
   }
 
   listen(address: string, ready: () => void, failed: (error: Error) => void): void {
-    const { host, port } = splitAddress(address);
-    this.server.once('error', failed);
-    this.server.listen(port, host, 511, ready);
+    listen(this.server, address, ready, failed);
   }
 
   private serve(req: IncomingMessage, res: ServerResponse): void {
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -2,3 +2,4 @@
 export * from './log.js';
 export * from './service.js';
 export * from './token-bucket.js';
+export * from './listen.js';
--- a/packages/adapters/src/peer-link.ts
+++ b/packages/adapters/src/peer-link.ts
@@ -9,6 +9,7 @@
 } from '@tealdock/wire';
 import type { Call, CallResult, Log } from '@tealdock/controller';
 import { splitAddress } from './http-client.js';
+import { listen } from './listen.js';
 
 const RECONNECT = 1000;
 const CONNECT_TIMEOUT = 2000;
@@ -46,9 +47,7 @@
   }
 
   listen(address: string, failed: (error: Error) => void): void {
-    const { host, port } = splitAddress(address);
-    this.server.on('error', failed);
-    this.server.listen(port, host);
+    listen(this.server, address, () => undefined, failed);
     for (const peer of this.peers) this.dial(peer);
   }
 
