--- a/packages/adapters/src/http-server.ts
+++ b/packages/adapters/src/http-server.ts
@@ -1,29 +1,39 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { MAX_BODY_BYTES, packBody } from '@tealdock/wire';
-import type { Reply } from '@tealdock/controller';
+import { HEALTH_PATH, MAX_BODY_BYTES, REPORT_PATH, packBody } from '@tealdock/wire';
+import type { Reply, SocketShares } from '@tealdock/controller';
+import type { Connections, Holder } from './connections.js';
 import { listen } from './listen.js';
 
-const IDLE_TIMEOUT = 120_000;
+const SWEEP_EVERY = 1000;
 const REQUEST_TIMEOUT = 10_000;
 const REPLY_TIMEOUT = 6000;
 
 export type Receive = (method: string, path: string, body: Buffer, respond: Respond) => void;
 export type Respond = (reply: Reply) => void;
 
+const BUSY: Reply = { status: 503, body: { error: 'busy' }, retryAfter: 1000 };
+
 /** Users, workers and health checks. Bounded in bodies, connections and waiting. */
 export class HttpFront {
   private readonly server: Server;
 
   constructor(
     private readonly receive: Receive,
-    maxConnections: number,
+    private readonly connections: Connections,
+    shares: SocketShares,
   ) {
     this.server = createServer({ noDelay: true }, (req, res) => this.serve(req, res));
-    this.server.keepAliveTimeout = IDLE_TIMEOUT;
+    // Idle connections are closed by the table, which knows whose they are.
+    this.server.keepAliveTimeout = 0;
     this.server.headersTimeout = REQUEST_TIMEOUT;
     this.server.requestTimeout = REQUEST_TIMEOUT;
-    this.server.maxConnections = maxConnections;
+    this.server.maxConnections = shares.clients + shares.turnedAway;
     this.server.on('clientError', (_error, socket) => socket.destroy());
+    this.server.on('connection', (socket) => {
+      connections.opened(socket);
+      socket.on('close', () => connections.closed(socket));
+    });
+    setInterval(() => connections.sweep(), SWEEP_EVERY).unref();
   }
 
   listen(address: string, ready: () => void, failed: (error: Error) => void): void {
@@ -31,6 +41,16 @@
   }
 
   private serve(req: IncomingMessage, res: ServerResponse): void {
+    const { socket } = req;
+    const welcome = this.connections.asked(socket, holderOf(pathOf(req)));
+    if (this.connections.mustClose(socket)) res.setHeader('connection', 'close');
+    res.on('close', () => this.connections.answered(socket));
+    if (welcome) return this.receiveBody(req, res);
+    req.resume();
+    req.on('end', () => write(res, BUSY));
+  }
+
+  private receiveBody(req: IncomingMessage, res: ServerResponse): void {
     const chunks: Buffer[] = [];
     let size = 0;
     req.on('data', (chunk: Buffer) => {
@@ -50,16 +70,21 @@
   }
 
   private pass(req: IncomingMessage, body: Buffer, res: ServerResponse): void {
-    const busy = { status: 503, body: { error: 'busy' }, retryAfter: 1000 };
-    const timer = setTimeout(() => write(res, busy), REPLY_TIMEOUT);
-    const path = (req.url ?? '/').split('?')[0]!;
-    this.receive(req.method ?? 'GET', path, body, (reply) => {
+    const timer = setTimeout(() => write(res, BUSY), REPLY_TIMEOUT);
+    this.receive(req.method ?? 'GET', pathOf(req), body, (reply) => {
       clearTimeout(timer);
       write(res, reply);
     });
   }
 }
 
+const pathOf = (req: IncomingMessage): string => (req.url ?? '/').split('?')[0]!;
+
+function holderOf(path: string): Holder {
+  if (path === REPORT_PATH) return 'worker';
+  return path === HEALTH_PATH ? 'probe' : 'user';
+}
+
 function write(res: ServerResponse, reply: Reply): void {
   if (res.headersSent || res.destroyed) return;
   // Checked at the moment of writing: a leader whose lease may be over promises nothing.
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -3,3 +3,6 @@
 export * from './service.js';
 export * from './token-bucket.js';
 export * from './listen.js';
+export * from './connections.js';
+export * from './usage.js';
+export * from './call-gates.js';
--- a/packages/adapters/src/service.ts
+++ b/packages/adapters/src/service.ts
@@ -1,6 +1,9 @@
 import type { OperatorSettings, Settings } from '@tealdock/wire';
 import {
+  CLOUD_SOCKETS,
   Controller,
+  STATE_SOCKETS,
+  socketShares,
   type Stats,
   type Call,
   type CallResult,
@@ -9,19 +12,14 @@
   type Log,
   type Random,
 } from '@tealdock/controller';
+import { CallGates } from './call-gates.js';
+import { Connections } from './connections.js';
 import { HttpClient, splitAddress } from './http-client.js';
 import { HttpFront, type Respond } from './http-server.js';
 import { PeerLink } from './peer-link.js';
-import { TokenBucket } from './token-bucket.js';
-
-/** Each node may use this part of what the outside services allow to all. */
-const STATE_PART = 0.5;
-const CLOUD_PART = 0.8;
-const STATE_SOCKETS = 24;
-const OTHER_SOCKETS = 8;
-/** A call that waited this part of its time for a token is better dropped. */
-const WAIT_PART = 0.6;
+import { Usage } from './usage.js';
 
+const USAGE_EVERY = 30_000;
 export interface ServiceParts {
   settings: Settings;
   operator: OperatorSettings;
@@ -34,12 +32,11 @@
 export class Service {
   private readonly controller: Controller;
   private readonly front: HttpFront;
+  private readonly connections: Connections;
   private readonly peers: PeerLink;
   private readonly stateHttp = new HttpClient(STATE_SOCKETS);
-  private readonly cloudHttp = new HttpClient(OTHER_SOCKETS);
-  private readonly stateCalls: TokenBucket;
-  private readonly stateWrites: TokenBucket;
-  private readonly cloudCalls: TokenBucket;
+  private readonly cloudHttp = new HttpClient(CLOUD_SOCKETS);
+  private readonly gates: CallGates;
   private readonly responders = new Map<number, Respond>();
   private queue: Command[] = [];
   private scheduled = false;
@@ -49,12 +46,17 @@
   constructor(private readonly parts: ServiceParts) {
     const { settings, log } = parts;
     this.controller = new Controller(parts);
-    this.stateCalls = bucket(settings.state.rps * STATE_PART);
-    this.stateWrites = bucket(settings.state.writeRps * STATE_PART, settings.state.txnOps);
-    this.cloudCalls = bucket(settings.cloud.rps * CLOUD_PART);
+    const now = () => performance.now();
+    this.gates = new CallGates(settings, {
+      now,
+      wake: (delay, run) => void setTimeout(run, delay),
+    });
+    const shares = socketShares(settings);
+    this.connections = new Connections(shares, settings.reportEvery, now);
     this.front = new HttpFront(
       (method, path, body, respond) => this.request('public', method, path, body, respond),
-      settings.maxConnections - 100,
+      this.connections,
+      shares,
     );
     this.peers = new PeerLink(
       settings.peers,
@@ -77,6 +79,8 @@
     };
     this.front.listen(settings.publicAddr, ready, failed);
     this.peers.listen(settings.clusterListen, failed);
+    const usage = new Usage(this.connections, this.parts.stats, log);
+    setInterval(() => usage.note(), USAGE_EVERY).unref();
   }
 
   private request(
@@ -113,8 +117,13 @@
 
   private plan(): void {
     if (this.timer) clearTimeout(this.timer);
-    const delay = Math.max(1, this.controller.nextDue() - performance.now());
-    this.timer = setTimeout(() => this.push({ kind: 'tick' }), Math.min(delay, 1000));
+    const wanted = Math.max(1, this.controller.nextDue() - performance.now());
+    const delay = Math.min(wanted, 1000);
+    const due = performance.now() + delay;
+    this.timer = setTimeout(() => {
+      this.parts.stats.record('timers.late_ms', performance.now() - due);
+      this.push({ kind: 'tick' });
+    }, delay);
   }
 
   private carryOut(effect: Effect): void {
@@ -134,20 +143,15 @@
       this.parts.stats.count(`calls.${call.target}.dropped`);
       done({ kind: 'unsent' });
     };
-    const patience = call.timeout * WAIT_PART;
     const asked = performance.now();
-    const take = (b: TokenBucket, cost: number, run: () => void) =>
-      b.take(cost, call.priority, patience, run, drop);
-    const { settings } = this.parts;
-    if (call.target === 'state') {
-      const send = () => {
-        this.parts.stats.record('calls.state.waited_ms', performance.now() - asked);
-        this.send(this.stateHttp, settings.stateAddr, call, done);
-      };
-      take(this.stateWrites, call.writes, () => take(this.stateCalls, 1, send));
-    } else if (call.target === 'cloud') {
-      take(this.cloudCalls, 1, () => this.send(this.cloudHttp, settings.cloudAddr, call, done));
-    } else this.peers.ask(call, done);
+    const { stateAddr, cloudAddr } = this.parts.settings;
+    const send = () => {
+      if (call.target === 'peer') return this.peers.ask(call, done);
+      if (call.target === 'cloud') return this.send(this.cloudHttp, cloudAddr, call, done);
+      this.parts.stats.record('calls.state.waited_ms', performance.now() - asked);
+      this.send(this.stateHttp, stateAddr, call, done);
+    };
+    this.gates.pass(call, send, drop);
   }
 
   private send(
@@ -172,8 +176,3 @@
     this.parts.log('debug', { target, method, path, status: outcome }, 'call failed');
   }
 }
-
-function bucket(rate: number, least = 1): TokenBucket {
-  const wake = (delay: number, run: () => void) => void setTimeout(run, delay);
-  return new TokenBucket(rate, Math.max(rate, least), () => performance.now(), wake);
-}
--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -1,4 +1,5 @@
 import {
+  HEALTH_PATH,
   REPORT_PATH,
   WireError,
   parseReport,
@@ -25,7 +26,6 @@
 import { StateStore } from './state-store.js';
 import { Term } from './term.js';
 
-const HEALTH_PATH = '/healthz';
 const STATS_PATH = '/metrics';
 /** A new node is healthy once it can judge submissions, or after this long anyway. */
 const START_PATIENCE = 6000;
--- a/packages/controller/src/desks.ts
+++ b/packages/controller/src/desks.ts
@@ -7,6 +7,7 @@
   need,
   placeAllowed,
   plus,
+  slots,
   type Resources,
   type Volunteer,
   type ZoneCounts,
@@ -45,6 +46,30 @@
   );
 }
 
+/** Machines that hold the image of a job, free or not; looked for once, when first needed. */
+export class Holders {
+  private found: Desk[] | null = null;
+  private sum: number | null = null;
+
+  constructor(
+    private readonly job: LiveJob,
+    private readonly pass: { everywhere(job: LiveJob): Desk[] },
+  ) {}
+
+  get desks(): Desk[] {
+    const { image } = this.job.spec;
+    this.found ??= this.pass.everywhere(this.job).filter((d) => d.machine.images.has(image));
+    return this.found;
+  }
+
+  /** How many of the job's tasks they could hold if they were empty. */
+  get slots(): number {
+    const wanted = need(this.job.spec);
+    this.sum ??= this.desks.reduce((sum, d) => sum + slots(wanted, d.type), 0);
+    return this.sum;
+  }
+}
+
 interface Candidate extends Volunteer {
   desk: Desk;
 }
--- a/packages/controller/src/fleet-keeper.ts
+++ b/packages/controller/src/fleet-keeper.ts
@@ -30,6 +30,7 @@
 import type { Runtime } from './runtime.js';
 import { attempt, type StateStore } from './state-store.js';
 import { guaranteedJobs, latestStart } from './slack.js';
+import { socketShares } from './sockets.js';
 import type { Term } from './term.js';
 
 const LIST_EVERY = 5000;
@@ -316,7 +317,8 @@
   private rent(): void {
     if (!this.knowsWhatRuns()) return;
     const backlog = [...this.backlog(), ...this.headroom()];
-    const plan = planRentals(backlog, this.rooms(), this.offers(), MOST_PLANNED);
+    const most = Math.min(MOST_PLANNED, this.placesLeft());
+    const plan = planRentals(backlog, this.rooms(), this.offers(), most);
     const groups = new Map<string, { place: Place; count: number }>();
     for (const p of plan) {
       const group = groups.get(placeKey(p)) ?? { place: p, count: 0 };
@@ -328,6 +330,18 @@
     }
   }
 
+  /**
+   * One node holds a connection for each worker. A machine beyond that would be paid for
+   * and never heard, and its tries to get in would cost those that are.
+   */
+  private placesLeft(): number {
+    let taken = this.term.machines.size + this.coming.size;
+    for (const r of this.rentals.values()) taken += r.count;
+    const left = socketShares(this.rt.settings).workers - taken;
+    this.rt.stats.gauge('fleet.places_left', left);
+    return Math.max(0, left);
+  }
+
   /** Before the roster is accounted for, tasks that run look like tasks that wait. */
   private knowsWhatRuns(): boolean {
     return this.term.ready || this.rt.now - this.term.acquired > REBUILD_PATIENCE;
@@ -394,8 +408,9 @@
    */
   private giveBack(): void {
     if (!this.term.loaded) return;
+    const heldUp = this.termHeldUp();
     for (const m of this.term.machines.values()) {
-      if (m.returning || !this.shouldReturn(m)) continue;
+      if (m.returning || !this.shouldReturn(m, heldUp)) continue;
       this.rt.env.log('info', { machine: m.id, type: m.type, spot: m.spot }, 'returning machine');
       this.term.markReturning(m);
     }
@@ -441,11 +456,11 @@
     return this.rt.now - c.asked > boot * this.rt.operator.fleet.bootPatience + 5000;
   }
 
-  private shouldReturn(m: Machine): boolean {
+  private shouldReturn(m: Machine, heldUp: boolean): boolean {
     if (this.listed.get(m.id)?.state === 'failed' || this.vanished(m)) return true;
     if (this.isOwned(m.id) || this.owned === null) return false;
     if (m.lostStarts >= MOST_LOST_STARTS || (m.resolved && this.deaf(m))) return true;
-    if (!m.resolved) return this.holdsUpTerm();
+    if (!m.resolved) return heldUp;
     return this.idleLongEnough(m);
   }
 
@@ -467,7 +482,7 @@
    * Few rented machines stay silent while the rest of the roster has reported:
    * their return proves them gone sooner than the end of their lease would.
    */
-  private holdsUpTerm(): boolean {
+  private termHeldUp(): boolean {
     const age = this.rt.now - this.term.acquired;
     if (age < FEW_PATIENCE) return false;
     const silent = this.term.unresolved().length;
--- a/packages/controller/src/placer.ts
+++ b/packages/controller/src/placer.ts
@@ -12,9 +12,10 @@
   type Ranked,
   type Resources,
 } from '@tealdock/scheduler';
-import { Volunteers, allowedDesks, demandOf, deskOf, type Desk } from './desks.js';
+import { Holders, Volunteers, demandOf, deskOf, type Desk } from './desks.js';
 import type { LiveJob, OpenTask } from './live-job.js';
 import type { Binding, Machine } from './machine.js';
+import { Pass } from './pass.js';
 import { RoomMaker } from './room-maker.js';
 import type { Runtime } from './runtime.js';
 import { guaranteedJobs, nextDue } from './slack.js';
@@ -38,21 +39,8 @@
 const SCARCE_FOR = 10_000;
 /** Part of a fetch's time that a holder is waited for. */
 const HOLDER_PART = 1 / 4;
-/** A pass that books more goes on in the next one: reports are answered in between. */
-const MOST_BOOKINGS = 300;
-/** Plans to make room look at every task of every machine. */
-const MOST_ROOM_PLANS = 6;
 const ROOM_PLAN_EVERY = 500;
 
-/** What one pass has found out so far. */
-interface Pass {
-  desks: Desk[];
-  /** Demands that no machine has room for. */
-  full: Set<string>;
-  bookings: number;
-  roomPlans: number;
-}
-
 /**
  * The single placing leader. Each released task has a window; a machine whose
  * report showed room within it is a volunteer. Holders of the image go first,
@@ -97,10 +85,8 @@
     const jobs = this.waitingJobs();
     if (jobs.length === 0) return;
     this.unaccounted = this.sumUnaccounted();
-    const pass: Pass = { desks: this.desks(), full: new Set(), bookings: 0, roomPlans: 0 };
-    for (const job of jobs) {
-      if (pass.bookings < MOST_BOOKINGS) this.placeJob(job, pass);
-    }
+    const pass = new Pass(this.desks(), this.term, jobs);
+    for (const job of jobs) if (!pass.bookedOut) this.placeJob(job, pass);
     this.notePass(pass, jobs.length);
   }
 
@@ -165,37 +151,28 @@
     const closed = [...job.open.values()].filter((task) => this.windowCloses(task));
     const waiting = this.starves(job) ? closed.slice(0, FIRST_TASKS) : closed;
     const demand = demandOf(job);
-    if (pass.full.has(demand)) return this.noFit(job, waiting, pass, null);
-    const zones = this.term.ledger.zonesOf(job.id);
-    let allowed = allowedDesks(job, pass.desks, zones);
-    if (job.spec.kind === 'gang') {
-      if (!this.gangFits(job, allowed)) return;
-      allowed = allowedDesks(job, pass.desks, zones);
-    }
-    this.placeTasks(job, waiting, allowed, pass, demand);
+    if (pass.full.has(demand)) return this.noFit(job, waiting, pass);
+    // The zone of an earlier window says nothing about this one.
+    job.gangZone = null;
+    if (job.spec.kind === 'gang' && !this.gangFits(job, pass.withRoom(job))) return;
+    this.placeTasks(job, waiting, pass, demand);
   }
 
-  private placeTasks(
-    job: LiveJob,
-    waiting: OpenTask[],
-    allowed: Desk[],
-    pass: Pass,
-    demand: string,
-  ): void {
+  private placeTasks(job: LiveJob, waiting: OpenTask[], pass: Pass, demand: string): void {
     const rules = { priceOf: this.priceOf, gathers: this.gathers() };
     const sheltered = this.starves(job);
-    let desks = allowed;
-    let volunteers = new Volunteers(job, desks, rules);
+    let holders = new Holders(job, pass);
+    let volunteers = new Volunteers(job, pass.withRoom(job), rules);
     for (const [at, task] of waiting.entries()) {
-      if (pass.bookings >= MOST_BOOKINGS || !this.withinTeamLimit(job)) return;
+      if (pass.bookedOut || !this.withinTeamLimit(job)) return;
       const chosen = volunteers.choose();
       if (!chosen) {
         pass.full.add(demand);
         this.lastFull = this.rt.now;
-        return this.noFit(job, waiting.slice(at), pass, desks);
+        return this.noFit(job, waiting.slice(at), pass);
       }
-      if (this.waitsForHolder(job, chosen, desks, pass)) continue;
-      if (this.holderMayCome(job, chosen, desks)) return;
+      if (this.waitsForHolder(job, chosen, holders, pass)) continue;
+      if (this.holderMayCome(job, chosen, holders)) return;
       if (chosen.machine.images.has(job.spec.image)) job.holderWait = this.rt.now;
       this.term.book(job, task.index, chosen.machine, sheltered);
       pass.bookings++;
@@ -203,14 +180,13 @@
       volunteers.booked(chosen);
       if (!job.spec.oneZone && !job.spec.spread) continue;
       // Where the next task may go depends on where this one went.
-      desks = allowedDesks(job, pass.desks, this.term.ledger.zonesOf(job.id));
-      volunteers = new Volunteers(job, desks, rules);
+      holders = new Holders(job, pass);
+      volunteers = new Volunteers(job, pass.withRoom(job), rules);
     }
   }
 
   /** A gang is booked only when one window fits all its tasks; nothing is held for part of it. */
   private gangFits(job: LiveJob, allowed: Desk[]): boolean {
-    job.gangZone = null;
     const zones = job.spec.oneZone ? [...new Set(allowed.map((d) => d.machine.zone))] : [null];
     const team = this.rt.settings.teams.find((t) => t.name === job.spec.team);
     const rest = { cpus: job.spec.cpus * job.open.size, gpus: job.spec.gpus * job.open.size };
@@ -233,19 +209,18 @@
   }
 
   /** Without a fit the timers start again, and room may be made. */
-  private noFit(job: LiveJob, waiting: OpenTask[], pass: Pass, allowed: Desk[] | null): void {
+  private noFit(job: LiveJob, waiting: OpenTask[], pass: Pass): void {
     if (waiting.length === 0) return;
     job.starvedSince ??= this.rt.now;
     for (const task of waiting) {
       if (this.rt.now - task.opened >= this.rt.operator.window.lambda) task.opened = this.rt.now;
     }
-    const zones = this.term.ledger.zonesOf(job.id);
-    const desks = allowed ?? allowedDesks(job, pass.desks, zones);
-    this.reserveRoom(job, waiting.length, desks, pass);
+    this.reserveRoom(job, waiting.length, pass);
   }
 
   /** Keeps coming room for the tasks, and has more made where that is allowed. */
-  private reserveRoom(job: LiveJob, tasks: number, desks: Desk[], pass: Pass): void {
+  private reserveRoom(job: LiveJob, tasks: number, pass: Pass): void {
+    const desks = pass.withComingRoom(job);
     let maker: RoomMaker | null = null;
     const wanted = need(job.spec);
     let at = 0;
@@ -256,7 +231,7 @@
         continue;
       }
       if (!this.mayMakeRoom(job, maker, pass)) return;
-      maker ??= this.roomMaker(job, desks, pass);
+      maker ??= this.roomMaker(job, pass.everywhere(job), pass);
       const made = maker.make();
       if (!made) return;
       this.promise(job, made);
@@ -266,13 +241,14 @@
 
   private mayMakeRoom(job: LiveJob, maker: RoomMaker | null, pass: Pass): boolean {
     if (maker) return true;
-    if (pass.roomPlans >= MOST_ROOM_PLANS || job.roomPlanAt > this.rt.now) return false;
+    if (!pass.mayPlanRoom || job.roomPlanAt > this.rt.now) return false;
+    if (!pass.hasLowerWork(job) && !(pass.hasOtherTeams(job) && this.reclaims(job))) return false;
     const waited = this.rt.now - (job.starvedSince ?? this.rt.now);
     return !this.rentable() || waited >= this.patience(job);
   }
 
   private roomMaker(job: LiveJob, desks: Desk[], pass: Pass): RoomMaker {
-    pass.roomPlans++;
+    pass.notePlan(desks.length);
     job.roomPlanAt = this.rt.now + ROOM_PLAN_EVERY;
     const reclaims = this.reclaims(job);
     const guaranteed = () => reclaims && this.belowGuarantee(job);
@@ -314,17 +290,17 @@
    * A fetch would break the class's aim for starts, while a holder of the image
    * has or can be given room in time: then the task waits for the holder.
    */
-  private waitsForHolder(job: LiveJob, chosen: Desk, desks: Desk[], pass: Pass): boolean {
+  private waitsForHolder(job: LiveJob, chosen: Desk, holders: Holders, pass: Pass): boolean {
     if (chosen.machine.images.has(job.spec.image)) return false;
     const fetch = fetchTime(job.spec.imageGb, chosen.type);
     const left = this.aimFor(job) - (this.rt.now - job.submitted);
     if (fetch < left || left < STOP_TIME) return false;
     const wanted = need(job.spec);
-    const holders = desks.filter((d) => d.machine.images.has(job.spec.image));
-    if (!holders.some((d) => fits(wanted, d.coming)) && this.mayMakeRoom(job, null, pass)) {
-      this.roomMaker(job, holders, pass).make();
+    const coming = () => holders.desks.find((d) => fits(wanted, d.coming));
+    if (!coming() && this.mayMakeRoom(job, null, pass)) {
+      this.roomMaker(job, holders.desks, pass).make();
     }
-    const holder = holders.find((d) => fits(wanted, d.coming));
+    const holder = coming();
     if (holder) this.promise(job, holder);
     return holder !== undefined;
   }
@@ -334,7 +310,7 @@
    * for a part of the time that a fetch takes, the next room on one of them is worth
    * waiting for. Work whose image the other machines hold gets their room meanwhile.
    */
-  private holderMayCome(job: LiveJob, chosen: Desk, desks: Desk[]): boolean {
+  private holderMayCome(job: LiveJob, chosen: Desk, holders: Holders): boolean {
     const { images, fetching } = chosen.machine;
     const { image, imageGb } = job.spec;
     if (images.has(image) || fetching.has(image)) return false;
@@ -345,10 +321,7 @@
     const window = Math.min(this.rt.operator.window.lambda, fetch * HOLDER_PART);
     if (this.rt.now - job.holderWait >= window) return false;
     if (this.dueOf(job, this.inside.has(job.id)) - this.rt.now < fetch + window) return false;
-    const wanted = need(job.spec);
-    let held = 0;
-    for (const d of desks) if (d.machine.images.has(image)) held += slots(wanted, d.type);
-    return held >= job.open.size;
+    return holders.slots >= job.open.size;
   }
 
   /** Within what time tasks of the class should start. */
--- a/packages/controller/src/stats.ts
+++ b/packages/controller/src/stats.ts
@@ -1,5 +1,8 @@
 import { createHistogram, type RecordableHistogram } from 'node:perf_hooks';
 
+/** Up to two hours in ms; the default range takes some hundred KB for each histogram. */
+const RANGE = { lowest: 1, highest: 7_200_000, figures: 2 };
+
 /** What one histogram comes to; durations are in ms. */
 export interface Spread {
   count: number;
@@ -11,12 +14,15 @@
 }
 
 export interface StatsView {
+  /** What there is at the moment. */
+  gauges: Record<string, number>;
   counters: Record<string, number>;
   histograms: Record<string, Spread>;
 }
 
 /** A process's own counters and histograms, since its start; see docs/operations.md. */
 export class Stats {
+  private readonly gauges = new Map<string, number>();
   private readonly counters = new Map<string, number>();
   private readonly histograms = new Map<string, RecordableHistogram>();
 
@@ -24,20 +30,34 @@
     this.counters.set(name, (this.counters.get(name) ?? 0) + by);
   }
 
+  /** Sets a gauge, and keeps the most it has ever shown. */
+  gauge(name: string, value: number): void {
+    const most = `${name}.most`;
+    this.gauges.set(name, value);
+    this.gauges.set(most, Math.max(value, this.gauges.get(most) ?? value));
+  }
+
   record(name: string, value: number): void {
     let histogram = this.histograms.get(name);
-    if (!histogram) this.histograms.set(name, (histogram = createHistogram()));
-    // It takes whole numbers from 1.
-    histogram.record(Math.max(1, Math.round(value)));
+    if (!histogram) this.histograms.set(name, (histogram = createHistogram(RANGE)));
+    // It takes whole numbers of its range.
+    histogram.record(Math.min(RANGE.highest, Math.max(RANGE.lowest, Math.round(value))));
   }
 
   view(): StatsView {
-    const sorted = [...this.counters].sort(([a], [b]) => a.localeCompare(b));
     const spreads = [...this.histograms].map(([name, h]) => [name, spread(h)] as const);
-    return { counters: Object.fromEntries(sorted), histograms: Object.fromEntries(spreads) };
+    return {
+      gauges: sorted(this.gauges),
+      counters: sorted(this.counters),
+      histograms: Object.fromEntries(spreads),
+    };
   }
 }
 
+function sorted(values: ReadonlyMap<string, number>): Record<string, number> {
+  return Object.fromEntries([...values].sort(([a], [b]) => a.localeCompare(b)));
+}
+
 function spread(h: RecordableHistogram): Spread {
   return {
     count: Number(h.count),
--- a/packages/testing/src/fake-state.ts
+++ b/packages/testing/src/fake-state.ts
@@ -36,8 +36,16 @@
   private readonly news: News[] = [];
   private watchers: Watcher[] = [];
   private lastLease = 0;
-
-  constructor(private readonly now: () => number) {}
+  /** What is left of a second's worth of requests and changes. */
+  private left: { rps: number; writeRps: number } | null;
+  private filled = 0;
+
+  constructor(
+    private readonly now: () => number,
+    private readonly limits: { rps: number; writeRps: number } | null = null,
+  ) {
+    this.left = limits && { ...limits };
+  }
 
   /** After an outage every lease has its full time again. */
   restore(): void {
@@ -53,6 +61,9 @@
 
   handle(method: string, path: string, body: unknown, done: (r: CallResult) => void): void {
     if (this.down) return done(answer(503, { error: 'trouble' }));
+    if (!this.afford(path === '/commit' ? (body as Commit).writes.length : 0)) {
+      return done(answer(429, { error: 'too many requests' }));
+    }
     const url = new URL(path, 'http://state');
     const query = url.searchParams;
     if (path.startsWith('/changes')) return this.watch(query, done);
@@ -62,6 +73,19 @@
     done(this.grants(method, path, body));
   }
 
+  private afford(writes: number): boolean {
+    if (!this.left || !this.limits) return true;
+    const seconds = (this.now() - this.filled) / 1000;
+    this.filled = this.now();
+    const { rps, writeRps } = this.limits;
+    this.left.rps = Math.min(rps, this.left.rps + seconds * rps);
+    this.left.writeRps = Math.min(writeRps, this.left.writeRps + seconds * writeRps);
+    if (this.left.rps < 1 || this.left.writeRps < writes) return false;
+    this.left.rps--;
+    this.left.writeRps -= writes;
+    return true;
+  }
+
   private read(key: string): CallResult {
     const entry = this.keys.get(key);
     if (!entry) return answer(404, { epoch: this.epoch });
--- a/packages/testing/src/fake-worker.ts
+++ b/packages/testing/src/fake-worker.ts
@@ -28,6 +28,7 @@
   lease: number;
   runTime(piece: string): number | null;
   fails(piece: string, machine: string): boolean;
+  hangUp(worker: FakeWorker, node: string): void;
   carry(worker: FakeWorker, node: string, body: unknown, done: (r: CallResult) => void): void;
   started(piece: string, machine: string): void;
   ended(piece: string, machine: string, reason: string): void;
@@ -107,10 +108,15 @@
 
   private elsewhere(): void {
     this.flight = null;
-    this.node = (this.node + 1) % this.host.nodes.length;
+    this.turnTo((this.node + 1) % this.host.nodes.length);
     this.next = this.host.now() + 1000;
   }
 
+  private turnTo(node: number): void {
+    this.host.hangUp(this, this.host.nodes[this.node]!);
+    this.node = node;
+  }
+
   private report(now: number): void {
     this.changed = false;
     this.next = now + this.host.reportEvery;
@@ -151,7 +157,7 @@
     const named = r.kind === 'answer' && r.status === 421 ? body.upstream : undefined;
     const at = named === undefined ? -1 : this.host.nodes.indexOf(named);
     if (at < 0 || at === this.node) return this.elsewhere();
-    this.node = at;
+    this.turnTo(at);
     this.next = this.host.now();
   }
 
--- /dev/null
+++ b/packages/testing/src/fleet.test.ts
@@ -0,0 +1,144 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Connections, type Closable } from '@tealdock/adapters';
+import { socketShares } from '@tealdock/controller';
+import { World, job } from './index.js';
+import { keepsRules, running, settled } from './story.js';
+
+/** Half as many machines again as the largest fleet that operations.md speaks of. */
+const MACHINES = 1300;
+const LIMITS = { sockets: 1650, rps: 250, writeRps: 18 };
+
+const idOf = (n: number): string => `run-${String(n).padStart(6, '0')}`;
+
+function submitMany(world: World, jobs: number, over: Record<string, unknown>): number[] {
+  const numbers = Array.from({ length: jobs }, (_, i) => i + 1);
+  for (const n of numbers) {
+    world.at(n * 300, () => world.submit(job(n, over), world.nodes[n % 3]!));
+  }
+  return numbers;
+}
+
+const allDone = (world: World, numbers: number[], tasks: number): boolean =>
+  numbers.every((n) => world.checker.doneTasks(idOf(n)).size === tasks);
+
+test('a whole fleet restarts, and all controllers with it: nothing runs twice, no lease is lost', () => {
+  const world = settled({ cpuLimit: 20_000, limits: LIMITS }, MACHINES);
+  const numbers = submitMany(world, 40, { batch: 100, expected_s: 30 });
+  assert.ok(world.runUntil(() => running(world) === 4000, 40_000));
+  const before = world.checker.starts;
+  for (const w of world.workers.values()) w.reboot();
+  for (const n of world.nodes) world.crash(n);
+  for (const n of world.nodes) world.at(300, () => world.boot(n));
+  const from = world.now();
+  const ready = () => world.log.filter((l) => l.message === 'roster accounted for').length;
+  const [known, lost] = [ready(), 4000 - running(world)];
+  assert.ok(
+    world.runUntil(() => ready() > known, 15_000),
+    'the roster is accounted for',
+  );
+  assert.ok(world.now() - from < world.lease, 'well within the workers lease');
+  assert.ok(
+    world.runUntil(() => allDone(world, numbers, 100), 150_000),
+    'all is done',
+  );
+  keepsRules(world);
+  const again = world.checker.starts - before;
+  assert.ok(again <= lost + 100, `${again} starts for ${lost} tasks that were lost or waited`);
+  const leases = [...world.workers.values()].filter((w) => w.shift > 2).length;
+  assert.equal(leases, 0, 'no lease ran out while the reports queued up');
+  assert.ok(world.mostSockets() <= LIMITS.sockets);
+  assert.equal(world.turnedAway(), 0);
+});
+
+const SHARES = socketShares({ maxConnections: 200, peers: [] });
+
+/** A table of connections whose clock is moved by hand. */
+class Table {
+  time = 0;
+  readonly gone: string[] = [];
+  private readonly table = new Connections(SHARES, 5000, () => this.time);
+  private readonly sockets = new Map<string, Closable>();
+
+  /** A client connects and asks; false if it is turned away. */
+  ask(name: string, holder: 'worker' | 'user' | 'probe', answered = true): boolean {
+    const socket = this.sockets.get(name) ?? { destroy: () => this.gone.push(name) };
+    if (!this.sockets.has(name)) this.table.opened(socket);
+    this.sockets.set(name, socket);
+    const welcome = this.table.asked(socket, holder);
+    if (answered) this.table.answered(socket);
+    if (this.table.mustClose(socket)) this.table.closed(socket);
+    return welcome;
+  }
+
+  wait(duration: number): void {
+    this.time += duration;
+    this.table.sweep();
+  }
+
+  get workers(): number {
+    return this.table.counts().worker;
+  }
+}
+
+// Machines that die close nothing: each left a connection for two minutes.
+test('connections of machines that died make way for those that came instead', () => {
+  const table = new Table();
+  for (let turn = 0; turn < 20; turn++) {
+    for (let i = 0; i < SHARES.workers / 2; i++) {
+      assert.ok(table.ask(`m-${turn}-${i}`, 'worker'), `machine ${i} of turn ${turn}`);
+    }
+    table.wait(21_000);
+  }
+  assert.equal(table.workers, 0);
+});
+
+test('a worker that reports in time keeps its connection', () => {
+  const table = new Table();
+  for (let i = 0; i < 20; i++) {
+    table.ask('m-1', 'worker');
+    table.wait(6250);
+  }
+  assert.deepEqual(table.gone, []);
+});
+
+test('when sockets run out, idle users make way, workers stay and probes are answered', () => {
+  const table = new Table();
+  for (let i = 0; i < SHARES.clients; i++) assert.ok(table.ask(`user-${i}`, 'user'));
+  for (let i = 0; i < SHARES.workers; i++) assert.ok(table.ask(`m-${i}`, 'worker'));
+  assert.deepEqual(
+    table.gone,
+    Array.from({ length: SHARES.workers }, (_, i) => `user-${i}`),
+    'those that were idle for the longest',
+  );
+  assert.equal(table.ask('m-late', 'worker'), false, 'users keep a part');
+  for (let i = 0; i < SHARES.clients; i++) table.ask(`busy-${i}`, 'user', false);
+  assert.equal(table.ask('user-late', 'user'), false);
+  assert.ok(table.ask('probe', 'probe'));
+  assert.equal(table.workers, SHARES.workers);
+});
+
+test('own calls and links keep their sockets whatever the host allows', () => {
+  for (const all of [64, 100, 500, 1500, 20_000]) {
+    const shares = socketShares({ maxConnections: all, peers: [] });
+    assert.ok(shares.clients > 0 && shares.workers < shares.clients);
+    assert.ok(shares.clients + shares.turnedAway < all);
+  }
+});
+
+test('no more machines are rented than the leader has sockets for', () => {
+  const limits = { ...LIMITS, sockets: 150 };
+  const world = new World({ capacity: 400, cpuLimit: 5000, limits });
+  world.run(5000);
+  world.submit(job(1, { batch: 1200, spare: true, expected_s: 30 }), 'n-0');
+  const done = () => world.checker.doneTasks(idOf(1)).size === 1200;
+  assert.ok(world.runUntil(done, 240_000));
+  const { workers } = socketShares({
+    maxConnections: limits.sockets,
+    peers: world.nodes.slice(1).map((member) => ({ member, addr: '' })),
+  });
+  assert.ok(world.cloud.rented.length <= workers, `${world.cloud.rented.length} machines`);
+  assert.ok(world.cloud.rented.length > workers / 2);
+  assert.equal(world.turnedAway(), 0);
+  keepsRules(world);
+});
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -3,3 +3,4 @@
 export * from './fake-cloud.js';
 export * from './fake-worker.js';
 export * from './rule-checker.js';
+export * from './fake-sockets.js';
--- a/packages/testing/src/world.ts
+++ b/packages/testing/src/world.ts
@@ -18,7 +18,9 @@
   type Random,
   type Reply,
 } from '@tealdock/controller';
+import { CallGates } from '@tealdock/adapters';
 import { FakeCloud } from './fake-cloud.js';
+import { FakeSockets } from './fake-sockets.js';
 import { FakeState } from './fake-state.js';
 import { FakeWorker, type WorkerHost } from './fake-worker.js';
 import { RuleChecker } from './rule-checker.js';
@@ -43,6 +45,8 @@
   runTime?: number;
   /** A task that fails wherever it runs, or on one machine. */
   fails?: (piece: string, machine: string) => boolean;
+  /** Sockets of a process, and what the state service serves a second; enforced if named. */
+  limits?: { sockets: number; rps: number; writeRps: number };
   /** What the controllers take for the workers' lease; a wrong one breaks a guard on purpose. */
   believedLease?: number;
 }
@@ -56,6 +60,8 @@
   /** Processes are told apart, so that answers to a dead one reach no other. */
   life: number;
   hung: boolean;
+  sockets: FakeSockets;
+  gates: CallGates | null;
 }
 
 interface Event {
@@ -92,7 +98,7 @@
     cancelWithin: CANCEL_WITHIN,
     state: { rps: 100, writeRps: 100, valueBytes: 4096, txnOps: 8 },
     cloud: { rps: 6, listLag: 1000 },
-    maxConnections: 100,
+    maxConnections: 4000,
   };
 }
 
@@ -123,7 +129,7 @@
   constructor(readonly options: WorldOptions = {}) {
     const generator = xoroshiro128plus(options.seed ?? 1);
     this.random = () => uniformFloat64(generator);
-    this.state = new FakeState(() => this.clock);
+    this.state = new FakeState(() => this.clock, options.limits);
     this.cloud = new FakeCloud(
       () => this.clock,
       options.capacity ?? 4,
@@ -152,7 +158,10 @@
       this.state.tick();
       this.bootWorkers();
       for (const worker of this.workers.values()) worker.tick();
-      for (const node of this.alive.values()) this.turn(node);
+      for (const node of this.alive.values()) {
+        node.sockets.tick();
+        this.turn(node);
+      }
       this.checker.check();
     }
   }
@@ -180,6 +189,9 @@
     const settings = settingsFor(name, this.options.cpuLimit ?? 100, this.options.guarantee);
     settings.workerLease = this.options.believedLease ?? WORKER_LEASE;
     settings.state.txnOps = this.options.txnOps ?? settings.state.txnOps;
+    const { limits } = this.options;
+    settings.maxConnections = limits?.sockets ?? settings.maxConnections;
+    if (limits) settings.state = { ...settings.state, ...limits };
     const operator = parseOperatorSettings('[leadership]\nlease_s = 10\n');
     const log = (_level: string, fields: Record<string, unknown>, message: string) =>
       void this.log.push({ node: name, message, fields });
@@ -199,10 +211,29 @@
       lastRequest: 0,
       life,
       hung: false,
+      sockets: new FakeSockets(settings, () => this.clock),
+      gates: limits ? this.gatesFor(settings) : null,
     };
     this.alive.set(name, node);
   }
 
+  private gatesFor(settings: Settings): CallGates {
+    return new CallGates(settings, {
+      now: () => this.clock,
+      wake: (delay, run) => this.at(delay, run),
+    });
+  }
+
+  /** The most sockets that a living process has held, its own calls included. */
+  mostSockets(): number {
+    return Math.max(...[...this.alive.values()].map((node) => node.sockets.most));
+  }
+
+  /** Requests that found no socket at the living processes. */
+  turnedAway(): number {
+    return [...this.alive.values()].reduce((sum, node) => sum + node.sockets.turnedAway, 0);
+  }
+
   crash(name: string): void {
     this.alive.delete(name);
   }
@@ -241,7 +272,9 @@
     else {
       const done = (result: CallResult) =>
         this.at(HALF_TRIP, () => this.push(node, { kind: 'result', id: effect.id, result }));
-      this.at(HALF_TRIP, () => this.call(node.name, effect.call, done));
+      const send = () => this.at(HALF_TRIP, () => this.call(node.name, effect.call, done));
+      if (node.gates) node.gates.pass(effect.call, send, () => done({ kind: 'unsent' }));
+      else send();
     }
   }
 
@@ -321,12 +354,21 @@
       const copy = packBody(body);
       this.at(delay, () => this.ask(node, 'public', 'POST', '/hello', copy, () => undefined));
     }
-    this.at(HALF_TRIP, () =>
+    const answer = (reply: Reply) =>
+      this.at(HALF_TRIP, () => done({ kind: 'answer', status: reply.status, body: reply.body }));
+    this.at(HALF_TRIP, () => {
+      const line = this.alive.get(node)?.sockets.ask(id, 'worker');
+      if (line === 'turned away') return answer({ status: 503, body: {} });
       this.ask(node, 'public', 'POST', '/hello', packBody(body), (reply) => {
-        if (!reply || this.cut(node, id)) return;
-        this.at(HALF_TRIP, () => done({ kind: 'answer', status: reply.status, body: reply.body }));
-      }),
-    );
+        line?.answered();
+        if (reply && !this.cut(node, id)) answer(reply);
+      });
+    });
+  }
+
+  /** The worker closes its connection to a node; a machine that dies closes nothing. */
+  hangUp(worker: FakeWorker, node: string): void {
+    this.alive.get(node)?.sockets.hangUp(worker.machine.id);
   }
 
   /** Takes a node's way to the state service and to its peers, but not to workers and users. */
@@ -432,7 +474,10 @@
     done?: (reply: Reply | null) => void,
   ): void {
     const [known, final] = [this.checker.accepted(id), this.checker.final(id)];
+    const line = this.alive.get(node)?.sockets.ask(`user of ${id}`, 'user');
+    if (line === 'turned away') return done?.({ status: 503, body: {}, retryAfter: 1000 });
     this.ask(node, 'public', method, path, packBody(body), (reply) => {
+      line?.answered();
       if (reply) {
         const state = (reply.body as { status?: string } | null)?.status;
         this.checker.told(id, reply.status, state, known, final);
--- a/packages/wire/src/jobs.ts
+++ b/packages/wire/src/jobs.ts
@@ -3,6 +3,7 @@
 import type { JobKind, JobSpec, JobView, Priority } from './domain.js';
 
 export const JOBS_PATH = '/api/jobs';
+export const HEALTH_PATH = '/healthz';
 export const MAX_TASKS = 100_000;
 
 const PRIORITIES: Record<string, Priority> = {
