--- a/packages/controller/src/desks.ts
+++ b/packages/controller/src/desks.ts
@@ -1,4 +1,4 @@
-import type { MachineType } from '@tealdock/wire';
+import type { Duration, Instant, MachineType } from '@tealdock/wire';
 import {
   bookedShare,
   choose,
@@ -27,6 +27,7 @@
 export const deskOf = (machine: Machine, type: MachineType): Desk => {
   const free = machine.free(type);
   machine.cacheGb = type.cacheGb;
+  machine.fetches.rate = type.fetchGbPerS;
   return { machine, type, free, coming: plus(free, machine.stopping) };
 };
 
@@ -75,6 +76,11 @@
 }
 
 export interface VolunteerRules {
+  now: Instant;
+  /** Fetches at the same time share a machine's rate. */
+  sharedFetches: boolean;
+  /** A machine whose other fetches make the task's image come later than this is no volunteer. */
+  mostDelay: (solo: Duration) => Duration;
   priceOf: (m: Machine, type: MachineType) => number;
   /** Work gathers on busy machines, so that other machines fall idle. */
   gathers: boolean;
@@ -85,7 +91,9 @@
  * changes one of them only, so the choice for the next task starts from there.
  */
 export class Volunteers {
-  private readonly candidates: Candidate[];
+  private readonly candidates: Candidate[] = [];
+  /** Machines with room, on which the image would come too late. */
+  tooSlow = 0;
 
   constructor(
     private readonly job: LiveJob,
@@ -93,7 +101,12 @@
     private readonly rules: VolunteerRules,
   ) {
     const wanted = need(job.spec);
-    this.candidates = desks.filter((d) => fits(wanted, d.free)).map((d) => this.candidate(d));
+    for (const desk of desks) {
+      if (!fits(wanted, desk.free)) continue;
+      const candidate = this.candidate(desk);
+      if (candidate) this.candidates.push(candidate);
+      else this.tooSlow++;
+    }
     if (rules.gathers) this.candidates.sort(byGathering);
   }
 
@@ -111,6 +124,7 @@
     this.candidates.splice(at, 1);
     if (!fits(wanted, desk.free)) return;
     const changed = this.candidate(desk);
+    if (!changed) return void this.tooSlow++;
     this.candidates.splice(this.placeFor(changed, at), 0, changed);
   }
 
@@ -121,23 +135,37 @@
     return at;
   }
 
-  private candidate(desk: Desk): Candidate {
+  private candidate(desk: Desk): Candidate | null {
     const { machine, type, free } = desk;
+    const imageRank = this.imageRank(machine, type);
+    if (imageRank === null) return null;
     return {
       desk,
       load: bookedShare(type, free),
       price: this.rules.priceOf(machine, type),
       recent: machine.recent / Math.max(1, type.cpus),
-      imageRank: imageRank(this.job.spec.image, machine),
+      imageRank,
     };
   }
+
+  /** By how much longer than alone the image takes there; null if that is too long. */
+  private imageRank(m: Machine, type: MachineType): number | null {
+    const { image, imageGb } = this.job.spec;
+    if (m.images.has(image)) return 0;
+    const solo = soloFetch(imageGb, type);
+    const delay = m.imageDelay(image, imageGb, this.rules.sharedFetches, this.rules.now);
+    const fetchingIt = m.fetching.has(image);
+    if (fetchingIt && delay <= solo) return 1;
+    if (m.fetching.size === 0) return 2;
+    if (fetchingIt) return 2 + Math.floor(delay / solo);
+    return delay <= this.rules.mostDelay(solo) ? 2 + Math.floor(delay / solo) : null;
+  }
+}
+
+/** What a fetch takes on a machine that fetches nothing else. */
+export function soloFetch(imageGb: number, type: MachineType): Duration {
+  return Math.max(1, (imageGb / Math.max(0.01, type.fetchGbPerS)) * 1000);
 }
 
 /** What adds least to the bill first, then the fullest: work gathers and machines fall idle. */
 const byGathering = (a: Volunteer, b: Volunteer): number => a.price - b.price || b.load - a.load;
-
-function imageRank(image: string, m: Machine): number {
-  if (m.images.has(image)) return 0;
-  if (m.fetching.has(image)) return 1;
-  return m.fetching.size === 0 ? 2 : 3;
-}
--- /dev/null
+++ b/packages/controller/src/fetches.ts
@@ -0,0 +1,100 @@
+import type { Duration, Instant } from '@tealdock/wire';
+
+interface Fetch {
+  gb: number;
+  /** What should have come by now if fetches share the machine's rate, and if they don't. */
+  shared: number;
+  alone: number;
+}
+
+/** A fetch that has ended, for what it tells of rates. */
+type Ended = Readonly<Fetch>;
+
+/** What a machine fetches by its starts, and how far that should be. */
+export class Fetches {
+  /** GB a second; known once the machine's type is. */
+  rate = 0;
+  private readonly running = new Map<string, Fetch>();
+  private at: Instant = 0;
+
+  begin(image: string, gb: number, now: Instant): void {
+    this.advance(now);
+    if (!this.running.has(image)) this.running.set(image, { gb, shared: 0, alone: 0 });
+  }
+
+  /** The image is there; what its fetch came to, if it was seen from its beginning. */
+  end(image: string, now: Instant): Ended | undefined {
+    this.advance(now);
+    const fetch = this.running.get(image);
+    this.running.delete(image);
+    return fetch;
+  }
+
+  /** A machine gives a fetch up that no task waits for. */
+  keepOnly(wanted: ReadonlyMap<string, number>, now: Instant): void {
+    this.advance(now);
+    for (const image of this.running.keys()) if (!wanted.has(image)) this.running.delete(image);
+  }
+
+  /**
+   * How long one more task would wait for its image, among the images that are waited for
+   * there. A shared rate is served in turn, so that smaller fetches end first.
+   */
+  delay(
+    image: string,
+    gb: number,
+    wanted: ReadonlyMap<string, number>,
+    shared: boolean,
+    now: Instant,
+  ): Duration {
+    this.advance(now);
+    const own = this.left(image, gb, shared);
+    let before = own;
+    if (shared) {
+      for (const [other, size] of wanted) {
+        if (other !== image) before += Math.min(own, this.left(other, size, true));
+      }
+    }
+    return (before / Math.max(0.01, this.rate)) * 1000;
+  }
+
+  private left(image: string, gb: number, shared: boolean): number {
+    const fetch = this.running.get(image);
+    if (!fetch) return gb;
+    return Math.max(0, gb - (shared ? fetch.shared : fetch.alone));
+  }
+
+  private advance(now: Instant): void {
+    const gb = ((now - this.at) / 1000) * this.rate;
+    this.at = now;
+    for (const fetch of this.running.values()) {
+      fetch.alone += gb;
+      fetch.shared += gb / this.running.size;
+    }
+  }
+}
+
+/** Fetches beside others tell something only if the two views differ by this much. */
+const TELLING = 1.5;
+/** Below this part of its size an image must have been there before. */
+const HAD_IT = 1 / 3;
+const WEIGHT = 0.1;
+
+/**
+ * Whether several fetches at the same time share a machine's rate, which differs between
+ * platforms: learnt from how long fetches take. Until then they are taken to share it,
+ * since too many fetches on a large machine cost more than waiting for one of them.
+ */
+export class FetchSharing {
+  private likely = 1;
+
+  get shared(): boolean {
+    return this.likely >= 0.5;
+  }
+
+  note({ gb, shared, alone }: Ended): void {
+    if (alone < gb * HAD_IT || alone < shared * TELLING) return;
+    const off = (came: number) => Math.abs(Math.log(Math.max(came, 1e-6) / gb));
+    this.likely += WEIGHT * ((off(shared) < off(alone) ? 1 : 0) - this.likely);
+  }
+}
--- a/packages/controller/src/machine.ts
+++ b/packages/controller/src/machine.ts
@@ -1,4 +1,12 @@
-import type { Instant, MachineType, TaskReport, TaskState, WorkerReport } from '@tealdock/wire';
+import type {
+  Duration,
+  Instant,
+  MachineType,
+  TaskReport,
+  TaskState,
+  WorkerReport,
+} from '@tealdock/wire';
+import { Fetches } from './fetches.js';
 import { NOTHING, minus, plus, type Place, type Resources } from '@tealdock/scheduler';
 
 export interface StopWish {
@@ -45,8 +53,8 @@
   used: Resources;
   /** The part of it that is being stopped. */
   stopping: Resources;
-  /** Images that tasks on the machine, or on their way there, still wait for. */
-  fetching: Set<string>;
+  /** Images that tasks on the machine, or on their way there, still wait for, by size. */
+  fetching: Map<string, number>;
 }
 
 /** One machine as the leader knows it in this term. */
@@ -79,6 +87,7 @@
   readonly images = new Map<string, number>();
   /** What its cache takes; known once its type is. */
   cacheGb = Infinity;
+  readonly fetches = new Fetches();
   private summary: Summary | null = null;
 
   constructor(
@@ -107,7 +116,7 @@
     return this.sums.stopping;
   }
 
-  get fetching(): ReadonlySet<string> {
+  get fetching(): ReadonlyMap<string, number> {
     return this.sums.fetching;
   }
 
@@ -122,12 +131,14 @@
 
   private sumUp(): Summary {
     let [used, stopping] = [NOTHING, NOTHING];
-    const fetching = new Set<string>();
+    const fetching = new Map<string, number>();
     for (const b of this.bindings.values()) {
       used = plus(used, b.size);
       if (b.stop) stopping = plus(stopping, b.size);
       const waits = b.phase !== 'seen' || b.state === 'fetching';
-      if (waits && b.image !== null && !this.images.has(b.image)) fetching.add(b.image);
+      if (waits && b.image !== null && !this.images.has(b.image)) {
+        fetching.set(b.image, b.imageGb);
+      }
     }
     return { used, stopping, fetching };
   }
@@ -146,6 +157,25 @@
     this.touch();
   }
 
+  /** A start left for it: unless it has the image, it fetches it now. */
+  noteStartSent(b: Binding, now: Instant): void {
+    const { image, imageGb } = b;
+    if (image !== null && !this.images.has(image)) this.fetches.begin(image, imageGb, now);
+  }
+
+  /** It says that it fetches what it was taken to hold. */
+  noteMissing(b: Binding, now: Instant): void {
+    if (b.image === null || !this.images.delete(b.image)) return;
+    this.fetches.begin(b.image, b.imageGb, now);
+    this.touch();
+  }
+
+  /** How long one more task would wait for its image. */
+  imageDelay(image: string, gb: number, shared: boolean, now: Instant): Duration {
+    if (this.images.has(image)) return 0;
+    return this.fetches.delay(image, gb, this.fetching, shared, now);
+  }
+
   /** Recent accumulated computing time, fading over some minutes. */
   accumulate(elapsed: number): void {
     this.recent = this.recent * Math.exp(-elapsed / RECENT_WINDOW) + this.used.cpus * elapsed;
--- a/packages/controller/src/placer.ts
+++ b/packages/controller/src/placer.ts
@@ -12,7 +12,7 @@
   type Ranked,
   type Resources,
 } from '@tealdock/scheduler';
-import { Holders, Volunteers, demandOf, deskOf, type Desk } from './desks.js';
+import { Holders, Volunteers, demandOf, deskOf, type Desk, type VolunteerRules } from './desks.js';
 import type { LiveJob, OpenTask } from './live-job.js';
 import type { Binding, Machine } from './machine.js';
 import { Pass } from './pass.js';
@@ -37,6 +37,8 @@
 const START_TIME = 1000;
 /** Room is scarce for so long after a task found none. */
 const SCARCE_FOR = 10_000;
+/** A fetch may take this many times as long as alone before its machine is no volunteer. */
+const MOST_SLOWDOWN = 2;
 /** Part of a fetch's time that a holder is waited for. */
 const HOLDER_PART = 1 / 4;
 const ROOM_PLAN_EVERY = 500;
@@ -159,13 +161,14 @@
   }
 
   private placeTasks(job: LiveJob, waiting: OpenTask[], pass: Pass, demand: string): void {
-    const rules = { priceOf: this.priceOf, gathers: this.gathers() };
+    const rules = this.volunteerRules(job);
     const sheltered = this.starves(job);
     let holders = new Holders(job, pass);
     let volunteers = new Volunteers(job, pass.withRoom(job), rules);
     for (const [at, task] of waiting.entries()) {
       if (pass.bookedOut || !this.withinTeamLimit(job)) return;
       const chosen = volunteers.choose();
+      if (!chosen && volunteers.tooSlow > 0) return this.awaitFetches(job);
       if (!chosen) {
         pass.full.add(demand);
         this.lastFull = this.rt.now;
@@ -177,6 +180,7 @@
       this.term.book(job, task.index, chosen.machine, sheltered);
       pass.bookings++;
       job.starvedSince = null;
+      job.fetchWait = null;
       volunteers.booked(chosen);
       if (!job.spec.oneZone && !job.spec.spread) continue;
       // Where the next task may go depends on where this one went.
@@ -185,6 +189,25 @@
     }
   }
 
+  private volunteerRules(job: LiveJob): VolunteerRules {
+    const waited = this.rt.now - (job.fetchWait ?? this.rt.now);
+    // A gang is booked as a whole, and a job that nothing has begun of takes what there is.
+    const any = job.spec.kind === 'gang' || this.starves(job);
+    return {
+      priceOf: this.priceOf,
+      gathers: this.gathers(),
+      now: this.rt.now,
+      sharedFetches: this.term.fetchSharing.shared,
+      mostDelay: (solo) => (any ? Infinity : solo * MOST_SLOWDOWN + waited),
+    };
+  }
+
+  /** Room there is, but only where other fetches are in the way: the timers start again. */
+  private awaitFetches(job: LiveJob): void {
+    job.fetchWait ??= this.rt.now;
+    this.lastFull = this.rt.now;
+  }
+
   /** A gang is booked only when one window fits all its tasks; nothing is held for part of it. */
   private gangFits(job: LiveJob, allowed: Desk[]): boolean {
     const zones = job.spec.oneZone ? [...new Set(allowed.map((d) => d.machine.zone))] : [null];
--- a/packages/controller/src/term.ts
+++ b/packages/controller/src/term.ts
@@ -23,6 +23,7 @@
   type EndedValue,
   type RosterEntry,
 } from './keys.js';
+import { FetchSharing } from './fetches.js';
 import type { Leadership } from './leadership.js';
 import { Ledger } from './ledger.js';
 import { LiveJob } from './live-job.js';
@@ -73,6 +74,7 @@
   /** Keys below the live jobs that belong to none. */
   readonly orphans: string[] = [];
   readonly ledger = new Ledger();
+  readonly fetchSharing = new FetchSharing();
   readonly silence: Silence;
   readonly roster: PackedTable<RosterEntry>;
   readonly progress: PackedTable<string>;
@@ -376,12 +378,13 @@
     m.lostStarts = 0;
     b.phase = 'seen';
     if (t.state !== 'fetching') this.noteStart(m, b);
+    else if (this.jobs.get(b.job)?.spec.kind === 'array') m.noteMissing(b, this.rt.now);
     b.state = t.state;
     m.touch();
   }
 
   private noteStart(m: Machine, b: Binding): void {
-    if (b.image !== null) m.noteImage(b.image, b.imageGb);
+    if (b.image !== null) this.noteImage(m, b.image, b.imageGb);
     if (b.runningSince !== null) return;
     b.runningSince = this.rt.now;
     if (b.phase === 'seen' && b.sentSeq > 0) {
@@ -390,6 +393,12 @@
     this.rt.env.log('debug', { task: b.task, machine: m.id }, 'task runs');
   }
 
+  private noteImage(m: Machine, image: string, gb: number): void {
+    const fetch = m.fetches.end(image, this.rt.now);
+    if (fetch) this.fetchSharing.note(fetch);
+    m.noteImage(image, gb);
+  }
+
   private absorbExit(m: Machine, t: TaskReport, bound: Binding | undefined): void {
     const at = splitTaskId(t.task);
     const job = at ? this.jobs.get(at.job) : undefined;
@@ -555,6 +564,7 @@
       b.phase = 'sent';
       b.sentSession = m.session;
       b.sentSeq = m.seq;
+      m.noteStartSent(b, this.rt.now);
       orders.push({ op: 'start', task: b.task, attempt: b.attempt });
       this.rt.stats.record('starts.booked_to_sent_ms', this.rt.now - b.bookedAt);
       this.rt.env.log('debug', { task: b.task, attempt: b.attempt, machine: m.id }, 'start sent');
@@ -622,6 +632,7 @@
     const m = this.machines.get(b.machine);
     if (m?.bindings.delete(bindingKey(b.task, b.attempt))) {
       m.touch();
+      m.fetches.keepOnly(m.fetching, this.rt.now);
       this.ledger.remove(b, m.zone);
     }
     const job = this.jobs.get(b.job);
--- a/packages/scheduler/src/front.ts
+++ b/packages/scheduler/src/front.ts
@@ -6,7 +6,7 @@
   price: number;
   /** Computing time booked on it over the recent past. */
   recent: number;
-  /** 0: holds the image; 1: is fetching it; 2: fetches nothing; 3: is busy fetching others. */
+  /** 0: holds the image; 1: is fetching it; 2: fetches nothing; from 3: other fetches are in its way. */
   imageRank: number;
 }
 
