--- a/packages/controller/src/live-job.ts
+++ b/packages/controller/src/live-job.ts
@@ -25,8 +25,6 @@
   starvedSince: Instant | null = null;
   /** Since when its tasks wait for a holder of the image; starts anew with each that got one. */
   holderWait: Instant | null = null;
-  /** Since when only machines have room on which other fetches are in the way. */
-  fetchWait: Instant | null = null;
   /** When room may be made for it next: plans for that are dear. */
   roomPlanAt: Instant = 0;
   /** The zone that was found to fit all of a gang that may use only one. */
--- a/packages/controller/src/placer.ts
+++ b/packages/controller/src/placer.ts
@@ -168,10 +168,11 @@
     for (const [at, task] of waiting.entries()) {
       if (pass.bookedOut || !this.withinTeamLimit(job)) return;
       const chosen = volunteers.choose();
-      if (!chosen && volunteers.tooSlow > 0) return this.awaitFetches(job);
       if (!chosen) {
-        pass.full.add(demand);
         this.lastFull = this.rt.now;
+        // There is room, but other fetches are in the way: they will end.
+        if (volunteers.tooSlow > 0) return;
+        pass.full.add(demand);
         return this.noFit(job, waiting.slice(at), pass);
       }
       if (this.waitsForHolder(job, chosen, holders, pass)) continue;
@@ -180,7 +181,6 @@
       this.term.book(job, task.index, chosen.machine, sheltered);
       pass.bookings++;
       job.starvedSince = null;
-      job.fetchWait = null;
       volunteers.booked(chosen);
       if (!job.spec.oneZone && !job.spec.spread) continue;
       // Where the next task may go depends on where this one went.
@@ -190,7 +190,6 @@
   }
 
   private volunteerRules(job: LiveJob): VolunteerRules {
-    const waited = this.rt.now - (job.fetchWait ?? this.rt.now);
     // A gang is booked as a whole, and a job that nothing has begun of takes what there is.
     const any = job.spec.kind === 'gang' || this.starves(job);
     return {
@@ -198,16 +197,10 @@
       gathers: this.gathers(),
       now: this.rt.now,
       sharedFetches: this.term.fetchSharing.shared,
-      mostDelay: (solo) => (any ? Infinity : solo * MOST_SLOWDOWN + waited),
+      mostDelay: (solo) => (any ? Infinity : solo * MOST_SLOWDOWN),
     };
   }
 
-  /** Room there is, but only where other fetches are in the way: the timers start again. */
-  private awaitFetches(job: LiveJob): void {
-    job.fetchWait ??= this.rt.now;
-    this.lastFull = this.rt.now;
-  }
-
   /** A gang is booked only when one window fits all its tasks; nothing is held for part of it. */
   private gangFits(job: LiveJob, allowed: Desk[]): boolean {
     const zones = job.spec.oneZone ? [...new Set(allowed.map((d) => d.machine.zone))] : [null];
--- a/packages/testing/src/fake-worker.ts
+++ b/packages/testing/src/fake-worker.ts
@@ -4,7 +4,7 @@
 export interface WorkerTask {
   piece: string;
   try_no: number;
-  status: 'running' | 'exited';
+  status: 'pulling' | 'running' | 'exited';
   reason?: string;
   ends: number;
 }
@@ -27,6 +27,8 @@
   reportEvery: number;
   lease: number;
   runTime(piece: string): number | null;
+  /** The image that a task needs, and what is fetched of it in a second; null: it is there. */
+  imageOf(piece: string): { name: string; gb: number; gbPerS: number; shared: boolean } | null;
   fails(piece: string, machine: string): boolean;
   hangUp(worker: FakeWorker, node: string): void;
   carry(worker: FakeWorker, node: string, body: unknown, done: (r: CallResult) => void): void;
@@ -51,12 +53,16 @@
   private flight: { sent: number; shift: number; id: number } | null = null;
   private flights = 0;
   private changed = false;
+  private readonly images = new Set<string>();
+  /** GB that have come of images that tasks wait for. */
+  private readonly fetched = new Map<string, number>();
+  private ticked: number;
 
   constructor(
     private readonly host: WorkerHost,
     readonly machine: CloudMachine,
   ) {
-    this.lastSent = host.now();
+    this.lastSent = this.ticked = host.now();
     this.node = machine.id.charCodeAt(machine.id.length - 1) % host.nodes.length;
   }
 
@@ -65,7 +71,10 @@
     const now = this.host.now();
     // A hanging machine may go on within its lease only, so its end counts at once.
     if (now - this.lastSent > this.host.lease) this.newSession(now);
+    const elapsed = now - this.ticked;
+    this.ticked = now;
     if (this.hanging) return;
+    this.fetch(elapsed / 1000);
     this.finishTasks(now);
     if (this.flight && now - this.flight.sent > ANSWER_TIMEOUT) this.elsewhere();
     if (!this.flight && now >= this.next) this.report(now);
@@ -73,11 +82,49 @@
 
   private finishTasks(now: number): void {
     for (const t of this.tasks) {
-      if (t.status === 'exited' || t.ends > now) continue;
+      if (t.status !== 'running' || t.ends > now) continue;
       this.exit(t, this.host.fails(t.piece, this.machine.id) ? 'error' : 'done');
     }
   }
 
+  /** Its cache is emptied, which no report tells of. */
+  dropImages(): void {
+    this.images.clear();
+    this.fetched.clear();
+  }
+
+  /** Images that tasks wait for at present. */
+  fetching(): string[] {
+    const names = this.tasks
+      .filter((t) => t.status === 'pulling')
+      .map((t) => this.host.imageOf(t.piece)?.name ?? '');
+    return [...new Set(names)];
+  }
+
+  private fetch(seconds: number): void {
+    const wanted = this.fetching();
+    for (const name of this.fetched.keys()) if (!wanted.includes(name)) this.fetched.delete(name);
+    for (const t of this.tasks) {
+      const image = t.status === 'pulling' ? this.host.imageOf(t.piece) : null;
+      if (!image || !wanted.includes(image.name)) continue;
+      wanted.splice(wanted.indexOf(image.name), 1);
+      const part = image.shared ? 1 / this.fetching().length : 1;
+      const came = (this.fetched.get(image.name) ?? 0) + seconds * image.gbPerS * part;
+      this.fetched.set(image.name, came);
+      if (came >= image.gb) this.images.add(image.name);
+    }
+    for (const t of this.tasks) if (t.status === 'pulling') this.runIfFetched(t);
+  }
+
+  private runIfFetched(t: WorkerTask): void {
+    const image = this.host.imageOf(t.piece);
+    if (image && !this.images.has(image.name)) return;
+    t.status = 'running';
+    t.ends = this.host.now() + (this.host.runTime(t.piece) ?? 0);
+    this.host.started(t.piece, this.machine.id);
+    this.soon();
+  }
+
   private exit(t: WorkerTask, reason: string): void {
     t.status = 'exited';
     t.reason = reason;
@@ -176,7 +223,7 @@
     if (order.verb === 'forget') {
       if (known?.status === 'exited') this.tasks = this.tasks.filter((t) => t !== known);
     } else if (order.verb === 'kill') {
-      if (known?.status === 'running') this.exit(known, 'stopped');
+      if (known && known.status !== 'exited') this.exit(known, 'stopped');
     } else if (!known) this.startTask(order);
   }
 
@@ -184,19 +231,16 @@
     const task: WorkerTask = {
       piece: order.piece,
       try_no: order.try_no,
-      status: 'running',
+      status: 'pulling',
       ends: 0,
     };
     this.tasks.push(task);
     const busy = this.tasks.some(
-      (t) => t !== task && t.piece === order.piece && t.status === 'running',
+      (t) => t !== task && t.piece === order.piece && t.status !== 'exited',
     );
-    const time = this.host.runTime(order.piece);
-    if (time === null) return this.refuse(task, 'no_such');
+    if (this.host.runTime(order.piece) === null) return this.refuse(task, 'no_such');
     if (busy) return this.refuse(task, 'in_use');
-    task.ends = this.host.now() + time;
-    this.host.started(order.piece, this.machine.id);
-    this.soon();
+    this.runIfFetched(task);
   }
 
   private refuse(task: WorkerTask, reason: string): void {
--- /dev/null
+++ b/packages/testing/src/fetches.test.ts
@@ -0,0 +1,58 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { World } from './index.js';
+import { job } from './index.js';
+import { keepsRules, settled } from './story.js';
+
+const idOf = (n: number): string => `run-${String(n).padStart(6, '0')}`;
+
+/** Jobs of one task each, with an image of their own. */
+function submitImages(world: World, from: number, count: number, gb: number): void {
+  for (let n = from; n < from + count; n++) {
+    world.submit(job(n, { batch: 1, bundle: `img-${n}`, image_gb: gb, expected_s: 5 }), 'n-0');
+  }
+}
+
+/** The most images that a machine fetches soon after; then these jobs are run to their ends. */
+function fetchesSoon(world: World, from: number, count: number): number {
+  world.run(4000);
+  const most = Math.max(...[...world.workers.values()].map((w) => w.fetching().length));
+  const numbers = Array.from({ length: count }, (_, i) => from + i);
+  const done = () => numbers.every((n) => world.checker.doneTasks(idOf(n)).size === 1);
+  assert.ok(world.runUntil(done, 200_000));
+  keepsRules(world);
+  return most;
+}
+
+// A machine with room for dozens of tasks was given dozens of images; each took minutes.
+test('fetches that share a rate are kept out of each other\u2019s way', () => {
+  const world = settled({ capacity: 2, fetches: { gbPerS: 1, shared: true } }, 2);
+  submitImages(world, 1, 8, 8);
+  assert.ok(fetchesSoon(world, 1, 8) <= 2);
+  submitImages(world, 11, 8, 8);
+  assert.ok(fetchesSoon(world, 11, 8) <= 2);
+});
+
+test('where fetches do not share a rate this is learnt, and all room is used at once', () => {
+  const world = settled({ capacity: 2, fetches: { gbPerS: 1, shared: false } }, 2);
+  for (let from = 1; from < 60; from += 10) {
+    submitImages(world, from, 8, 6);
+    fetchesSoon(world, from, 8);
+  }
+  submitImages(world, 71, 8, 6);
+  assert.equal(fetchesSoon(world, 71, 8), 4);
+});
+
+test('a machine that fetches what it was taken to hold holds it no more', () => {
+  const world = settled({ capacity: 1, fetches: { gbPerS: 1, shared: true } }, 1);
+  const told = () => world.log.filter((l) => l.message === 'task runs').length;
+  submitImages(world, 1, 1, 4);
+  fetchesSoon(world, 1, 1);
+  const worker = [...world.workers.values()][0]!;
+  worker.dropImages();
+  world.submit(job(2, { batch: 1, bundle: 'img-1', image_gb: 4, expected_s: 5 }), 'n-0');
+  world.run(2500);
+  assert.deepEqual(worker.fetching(), ['img-1']);
+  assert.equal(told(), 1);
+  fetchesSoon(world, 2, 1);
+});
--- a/packages/testing/src/world.ts
+++ b/packages/testing/src/world.ts
@@ -45,6 +45,8 @@
   runTime?: number;
   /** A task that fails wherever it runs, or on one machine. */
   fails?: (piece: string, machine: string) => boolean;
+  /** GB a second of a machine's image fetches, and whether those at the same time share it. */
+  fetches?: { gbPerS: number; shared: boolean };
   /** Sockets of a process, and what the state service serves a second; enforced if named. */
   limits?: { sockets: number; rps: number; writeRps: number };
   /** What the controllers take for the workers' lease; a wrong one breaks a guard on purpose. */
@@ -412,6 +414,12 @@
     return spec ? (this.options.runTime ?? spec.estimate) : null;
   }
 
+  imageOf(piece: string): { name: string; gb: number; gbPerS: number; shared: boolean } | null {
+    const spec = this.jobs.get(piece.split('/')[0]!);
+    const { fetches } = this.options;
+    return spec && fetches ? { name: spec.image, gb: spec.imageGb, ...fetches } : null;
+  }
+
   fails(piece: string, machine: string): boolean {
     return this.options.fails?.(piece, machine) ?? false;
   }
