Fetches that share a rate come one after the other: so says a large machine's log

A machine is a volunteer only while what is before the task's image is no larger than it, and room is made where the image is there soonest.

--- a/packages/controller/src/desks.ts
+++ b/packages/controller/src/desks.ts
@@ -1,4 +1,4 @@
-import type { Duration, Instant, MachineType } from '@tealdock/wire';
+import type { Duration, Instant, JobSpec, MachineType } from '@tealdock/wire';
 import {
   bookedShare,
   choose,
@@ -75,12 +75,41 @@
   desk: Desk;
 }
 
+/** How soon machines would have the image of one job. */
+export class ImageRanks {
+  constructor(
+    private readonly spec: JobSpec,
+    private readonly now: Instant,
+    /** Fetches at the same time share a machine's rate. */
+    private readonly shared: boolean,
+    /** A machine whose other fetches make its own this many times as long is no volunteer. */
+    private readonly mostSlowdown: number,
+  ) {}
+
+  /** Null if the image would come too late for the machine to be a volunteer. */
+  of({ machine, type }: Desk): number | null {
+    const { image, imageGb } = this.spec;
+    if (machine.images.has(image)) return 0;
+    const slowdown = this.delay(machine) / soloFetch(imageGb, type);
+    const fetchingIt = machine.fetching.has(image);
+    if (fetchingIt && slowdown <= 1) return 1;
+    if (machine.fetching.size === 0) return 2;
+    return slowdown <= this.mostSlowdown ? 2 + Math.floor(slowdown) : null;
+  }
+
+  delay(machine: Machine): Duration {
+    const { image, imageGb } = this.spec;
+    return machine.imageDelay(image, imageGb, this.shared, this.now);
+  }
+}
+
+/** What a fetch takes on a machine that fetches nothing else. */
+function soloFetch(imageGb: number, type: MachineType): Duration {
+  return Math.max(1, (imageGb / Math.max(0.01, type.fetchGbPerS)) * 1000);
+}
+
 export interface VolunteerRules {
-  now: Instant;
-  /** Fetches at the same time share a machine's rate. */
-  sharedFetches: boolean;
-  /** A machine whose other fetches make the task's image come later than this is no volunteer. */
-  mostDelay: (solo: Duration) => Duration;
+  ranks: ImageRanks;
   priceOf: (m: Machine, type: MachineType) => number;
   /** Work gathers on busy machines, so that other machines fall idle. */
   gathers: boolean;
@@ -137,7 +166,7 @@
 
   private candidate(desk: Desk): Candidate | null {
     const { machine, type, free } = desk;
-    const imageRank = this.imageRank(machine, type);
+    const imageRank = this.rules.ranks.of(desk);
     if (imageRank === null) return null;
     return {
       desk,
@@ -147,24 +176,6 @@
       imageRank,
     };
   }
-
-  /** By how much longer than alone the image takes there; null if that is too long. */
-  private imageRank(m: Machine, type: MachineType): number | null {
-    const { image, imageGb } = this.job.spec;
-    if (m.images.has(image)) return 0;
-    const solo = soloFetch(imageGb, type);
-    const delay = m.imageDelay(image, imageGb, this.rules.sharedFetches, this.rules.now);
-    const fetchingIt = m.fetching.has(image);
-    if (fetchingIt && delay <= solo) return 1;
-    if (m.fetching.size === 0) return 2;
-    if (fetchingIt) return 2 + Math.floor(delay / solo);
-    return delay <= this.rules.mostDelay(solo) ? 2 + Math.floor(delay / solo) : null;
-  }
-}
-
-/** What a fetch takes on a machine that fetches nothing else. */
-export function soloFetch(imageGb: number, type: MachineType): Duration {
-  return Math.max(1, (imageGb / Math.max(0.01, type.fetchGbPerS)) * 1000);
 }
 
 /** What adds least to the bill first, then the fullest: work gathers and machines fall idle. */
--- a/packages/controller/src/fetches.ts
+++ b/packages/controller/src/fetches.ts
@@ -38,7 +38,7 @@
 
   /**
    * How long one more task would wait for its image, among the images that are waited for
-   * there. A shared rate is served in turn, so that smaller fetches end first.
+   * there. A shared rate is taken to be used for one image after the other.
    */
   delay(
     image: string,
@@ -48,14 +48,20 @@
     now: Instant,
   ): Duration {
     this.advance(now);
-    const own = this.left(image, gb, shared);
-    let before = own;
-    if (shared) {
-      for (const [other, size] of wanted) {
-        if (other !== image) before += Math.min(own, this.left(other, size, true));
-      }
-    }
-    return (before / Math.max(0.01, this.rate)) * 1000;
+    let left = this.left(image, gb, shared);
+    if (shared) for (const other of this.before(image, wanted)) left += other;
+    return (left / Math.max(0.01, this.rate)) * 1000;
+  }
+
+  /** What is left of images whose turn comes sooner. */
+  private before(image: string, wanted: ReadonlyMap<string, number>): number[] {
+    const asked = [...this.running.keys()];
+    const turn = this.running.has(image) ? asked.indexOf(image) : Infinity;
+    const sooner = [...wanted].filter(([other]) => {
+      const at = asked.indexOf(other);
+      return other !== image && (at < 0 ? turn === Infinity : at < turn);
+    });
+    return sooner.map(([other, gb]) => this.left(other, gb, true));
   }
 
   private left(image: string, gb: number, shared: boolean): number {
@@ -67,9 +73,12 @@
   private advance(now: Instant): void {
     const gb = ((now - this.at) / 1000) * this.rate;
     this.at = now;
+    let rest = gb;
     for (const fetch of this.running.values()) {
+      const part = Math.min(rest, fetch.gb - fetch.shared);
+      fetch.shared += part;
       fetch.alone += gb;
-      fetch.shared += gb / this.running.size;
+      rest -= part;
     }
   }
 }
--- a/packages/controller/src/placer.ts
+++ b/packages/controller/src/placer.ts
@@ -12,7 +12,7 @@
   type Ranked,
   type Resources,
 } from '@tealdock/scheduler';
-import { Holders, Volunteers, demandOf, deskOf, type Desk, type VolunteerRules } from './desks.js';
+import { Holders, ImageRanks, Volunteers, demandOf, deskOf, type Desk } from './desks.js';
 import type { LiveJob, OpenTask } from './live-job.js';
 import type { Binding, Machine } from './machine.js';
 import { Pass } from './pass.js';
@@ -153,15 +153,22 @@
     const closed = [...job.open.values()].filter((task) => this.windowCloses(task));
     const waiting = this.starves(job) ? closed.slice(0, FIRST_TASKS) : closed;
     const demand = demandOf(job);
-    if (pass.full.has(demand)) return this.noFit(job, waiting, pass);
+    const ranks = this.imageRanks(job);
+    if (pass.full.has(demand)) return this.noFit(job, waiting, pass, ranks);
     // The zone of an earlier window says nothing about this one.
     job.gangZone = null;
     if (job.spec.kind === 'gang' && !this.gangFits(job, pass.withRoom(job))) return;
-    this.placeTasks(job, waiting, pass, demand);
+    this.placeTasks(job, waiting, pass, demand, ranks);
   }
 
-  private placeTasks(job: LiveJob, waiting: OpenTask[], pass: Pass, demand: string): void {
-    const rules = this.volunteerRules(job);
+  private placeTasks(
+    job: LiveJob,
+    waiting: OpenTask[],
+    pass: Pass,
+    demand: string,
+    ranks: ImageRanks,
+  ): void {
+    const rules = { ranks, priceOf: this.priceOf, gathers: this.gathers() };
     const sheltered = this.starves(job);
     let holders = new Holders(job, pass);
     let volunteers = new Volunteers(job, pass.withRoom(job), rules);
@@ -170,12 +177,11 @@
       const chosen = volunteers.choose();
       if (!chosen) {
         this.lastFull = this.rt.now;
-        // There is room, but other fetches are in the way: they will end.
-        if (volunteers.tooSlow > 0) return;
-        pass.full.add(demand);
-        return this.noFit(job, waiting.slice(at), pass);
+        // Where there is room, other fetches are in the way: another job may use it.
+        if (volunteers.tooSlow === 0) pass.full.add(demand);
+        return this.noFit(job, waiting.slice(at), pass, ranks);
       }
-      if (this.waitsForHolder(job, chosen, holders, pass)) continue;
+      if (this.waitsForHolder(job, chosen, holders, pass, ranks)) continue;
       if (this.holderMayCome(job, chosen, holders)) return;
       if (chosen.machine.images.has(job.spec.image)) job.holderWait = this.rt.now;
       this.term.book(job, task.index, chosen.machine, sheltered);
@@ -189,16 +195,11 @@
     }
   }
 
-  private volunteerRules(job: LiveJob): VolunteerRules {
+  private imageRanks(job: LiveJob): ImageRanks {
     // A gang is booked as a whole, and a job that nothing has begun of takes what there is.
     const any = job.spec.kind === 'gang' || this.starves(job);
-    return {
-      priceOf: this.priceOf,
-      gathers: this.gathers(),
-      now: this.rt.now,
-      sharedFetches: this.term.fetchSharing.shared,
-      mostDelay: (solo) => (any ? Infinity : solo * MOST_SLOWDOWN),
-    };
+    const shared = this.term.fetchSharing.shared;
+    return new ImageRanks(job.spec, this.rt.now, shared, any ? Infinity : MOST_SLOWDOWN);
   }
 
   /** A gang is booked only when one window fits all its tasks; nothing is held for part of it. */
@@ -225,18 +226,19 @@
   }
 
   /** Without a fit the timers start again, and room may be made. */
-  private noFit(job: LiveJob, waiting: OpenTask[], pass: Pass): void {
+  private noFit(job: LiveJob, waiting: OpenTask[], pass: Pass, ranks: ImageRanks): void {
     if (waiting.length === 0) return;
     job.starvedSince ??= this.rt.now;
     for (const task of waiting) {
       if (this.rt.now - task.opened >= this.rt.operator.window.lambda) task.opened = this.rt.now;
     }
-    this.reserveRoom(job, waiting.length, pass);
+    this.reserveRoom(job, waiting.length, pass, ranks);
   }
 
   /** Keeps coming room for the tasks, and has more made where that is allowed. */
-  private reserveRoom(job: LiveJob, tasks: number, pass: Pass): void {
-    const desks = pass.withComingRoom(job);
+  private reserveRoom(job: LiveJob, tasks: number, pass: Pass, ranks: ImageRanks): void {
+    const soonEnough = (d: Desk) => ranks.of(d) !== null;
+    const desks = pass.withComingRoom(job).filter(soonEnough);
     let maker: RoomMaker | null = null;
     const wanted = need(job.spec);
     let at = 0;
@@ -247,7 +249,7 @@
         continue;
       }
       if (!this.mayMakeRoom(job, maker, pass)) return;
-      maker ??= this.roomMaker(job, pass.everywhere(job), pass);
+      maker ??= this.roomMaker(job, pass.everywhere(job).filter(soonEnough), pass, ranks);
       const made = maker.make();
       if (!made) return;
       this.promise(job, made);
@@ -263,12 +265,12 @@
     return !this.rentable() || waited >= this.patience(job);
   }
 
-  private roomMaker(job: LiveJob, desks: Desk[], pass: Pass): RoomMaker {
+  private roomMaker(job: LiveJob, desks: Desk[], pass: Pass, ranks: ImageRanks): RoomMaker {
     pass.notePlan(desks.length);
     job.roomPlanAt = this.rt.now + ROOM_PLAN_EVERY;
     const reclaims = this.reclaims(job);
     const guaranteed = () => reclaims && this.belowGuarantee(job);
-    return new RoomMaker(this.rt, this.term, job, guaranteed, desks);
+    return new RoomMaker(this.rt, this.term, job, guaranteed, desks, ranks);
   }
 
   /** Rented room is preferred to another task's while it can come in time. */
@@ -306,7 +308,13 @@
    * A fetch would break the class's aim for starts, while a holder of the image
    * has or can be given room in time: then the task waits for the holder.
    */
-  private waitsForHolder(job: LiveJob, chosen: Desk, holders: Holders, pass: Pass): boolean {
+  private waitsForHolder(
+    job: LiveJob,
+    chosen: Desk,
+    holders: Holders,
+    pass: Pass,
+    ranks: ImageRanks,
+  ): boolean {
     if (chosen.machine.images.has(job.spec.image)) return false;
     const fetch = fetchTime(job.spec.imageGb, chosen.type);
     const left = this.aimFor(job) - (this.rt.now - job.submitted);
@@ -314,7 +322,7 @@
     const wanted = need(job.spec);
     const coming = () => holders.desks.find((d) => fits(wanted, d.coming));
     if (!coming() && this.mayMakeRoom(job, null, pass)) {
-      this.roomMaker(job, holders.desks, pass).make();
+      this.roomMaker(job, holders.desks, pass, ranks).make();
     }
     const holder = coming();
     if (holder) this.promise(job, holder);
--- a/packages/controller/src/room-maker.ts
+++ b/packages/controller/src/room-maker.ts
@@ -1,4 +1,4 @@
-import type { Instant } from '@tealdock/wire';
+import type { Duration, Instant } from '@tealdock/wire';
 import {
   fits,
   minus,
@@ -10,7 +10,7 @@
   type Resources,
   type Victim,
 } from '@tealdock/scheduler';
-import type { Desk } from './desks.js';
+import type { Desk, ImageRanks } from './desks.js';
 import type { LiveJob } from './live-job.js';
 import type { Binding } from './machine.js';
 import type { Runtime } from './runtime.js';
@@ -21,6 +21,8 @@
 
 interface DeskPlan extends Plan<Binding> {
   desk: Desk;
+  /** Work that is lost by it, and the wait for the image after it. */
+  cost: Duration;
 }
 
 /**
@@ -37,10 +39,11 @@
     private readonly job: LiveJob,
     private readonly guaranteed: () => boolean,
     desks: Desk[],
+    private readonly ranks: ImageRanks,
   ) {
     this.wanted = need(job.spec);
     const plans = desks.map((d) => this.planFor(d)).filter((p) => p !== null);
-    this.plans = plans.sort((a, b) => a.lost - b.lost);
+    this.plans = plans.sort((a, b) => a.cost - b.cost);
   }
 
   /** Has what is needed for one task stopped; null if nothing may be. */
@@ -62,7 +65,7 @@
   planAgain(desk: Desk): void {
     const plan = this.planFor(desk);
     if (!plan) return;
-    const at = this.plans.findIndex((p) => p.lost > plan.lost);
+    const at = this.plans.findIndex((p) => p.cost > plan.cost);
     this.plans.splice(at < 0 ? this.plans.length : at, 0, plan);
   }
 
@@ -70,7 +73,7 @@
     // Where room is coming already, nothing needs to be stopped.
     if (fits(this.wanted, desk.coming)) return null;
     const plan = planRoom(desk.coming, this.victims(desk), this.wanted);
-    return plan && { ...plan, desk };
+    return plan && { ...plan, desk, cost: plan.lost + this.ranks.delay(desk.machine) };
   }
 
   private victims(desk: Desk): Victim<Binding>[] {
