--- a/packages/controller/src/keeper.ts
+++ b/packages/controller/src/keeper.ts
@@ -16,6 +16,7 @@
 const SILENCE = 6500;
 /** A job that was live at most this long ago may keep its workers. */
 const PROOF_LIFE = 2000;
+const MOST_PROVEN = 5000;
 
 type Answer = (status: 200 | 421, body: unknown, validUntil?: Instant) => void;
 
@@ -102,13 +103,21 @@
     for (const job of open) {
       const asked = this.rt.now;
       this.proveLive(job, (live) => {
-        if (live) this.proven.set(job, asked);
+        if (live) this.noteProven(job, asked);
         all &&= live;
         if (--left === 0) done(all);
       });
     }
   }
 
+  /** The oldest go first, so that jobs long over do not pile up. */
+  private noteProven(job: string, asked: Instant): void {
+    this.proven.delete(job);
+    this.proven.set(job, asked);
+    const oldest = this.proven.keys().next().value;
+    if (this.proven.size > MOST_PROVEN && oldest !== undefined) this.proven.delete(oldest);
+  }
+
   private provenLately(job: string): boolean {
     const at = this.proven.get(job);
     if (at === undefined) return false;
--- a/packages/controller/src/placer.ts
+++ b/packages/controller/src/placer.ts
@@ -43,6 +43,14 @@
 const HOLDER_PART = 1 / 4;
 const ROOM_PLAN_EVERY = 500;
 
+/** What the tasks of one job look for in a pass. */
+interface Search {
+  readonly job: LiveJob;
+  readonly demand: string;
+  readonly ranks: ImageRanks;
+  holders: Holders;
+}
+
 /**
  * The single placing leader. Each released task has a window; a machine whose
  * report showed room within it is a volunteer. Holders of the image go first,
@@ -152,25 +160,18 @@
   private placeJob(job: LiveJob, pass: Pass): void {
     const closed = [...job.open.values()].filter((task) => this.windowCloses(task));
     const waiting = this.starves(job) ? closed.slice(0, FIRST_TASKS) : closed;
-    const demand = demandOf(job);
-    const ranks = this.imageRanks(job);
-    if (pass.full.has(demand)) return this.noFit(job, waiting, pass, ranks);
+    const search = this.searchFor(job, pass);
+    if (pass.full.has(search.demand)) return this.noFit(search, waiting, pass);
     // The zone of an earlier window says nothing about this one.
     job.gangZone = null;
     if (job.spec.kind === 'gang' && !this.gangFits(job, pass.withRoom(job))) return;
-    this.placeTasks(job, waiting, pass, demand, ranks);
+    this.placeTasks(search, waiting, pass);
   }
 
-  private placeTasks(
-    job: LiveJob,
-    waiting: OpenTask[],
-    pass: Pass,
-    demand: string,
-    ranks: ImageRanks,
-  ): void {
+  private placeTasks(search: Search, waiting: OpenTask[], pass: Pass): void {
+    const { job, demand, ranks } = search;
     const rules = { ranks, priceOf: this.priceOf, gathers: this.gathers() };
     const sheltered = this.starves(job);
-    let holders = new Holders(job, pass);
     let volunteers = new Volunteers(job, pass.withRoom(job), rules);
     for (const [at, task] of waiting.entries()) {
       if (pass.bookedOut || !this.withinTeamLimit(job)) return;
@@ -179,10 +180,10 @@
         this.lastFull = this.rt.now;
         // Where there is room, other fetches are in the way: another job may use it.
         if (volunteers.tooSlow === 0) pass.full.add(demand);
-        return this.noFit(job, waiting.slice(at), pass, ranks);
+        return this.noFit(search, waiting.slice(at), pass);
       }
-      if (this.waitsForHolder(job, chosen, holders, pass, ranks)) continue;
-      if (this.holderMayCome(job, chosen, holders)) return;
+      if (this.waitsForHolder(search, chosen, pass)) continue;
+      if (this.holderMayCome(search, chosen)) return;
       if (chosen.machine.images.has(job.spec.image)) job.holderWait = this.rt.now;
       this.term.book(job, task.index, chosen.machine, sheltered);
       pass.bookings++;
@@ -190,16 +191,17 @@
       volunteers.booked(chosen);
       if (!job.spec.oneZone && !job.spec.spread) continue;
       // Where the next task may go depends on where this one went.
-      holders = new Holders(job, pass);
+      search.holders = new Holders(job, pass);
       volunteers = new Volunteers(job, pass.withRoom(job), rules);
     }
   }
 
-  private imageRanks(job: LiveJob): ImageRanks {
+  private searchFor(job: LiveJob, pass: Pass): Search {
     // A gang is booked as a whole, and a job that nothing has begun of takes what there is.
     const any = job.spec.kind === 'gang' || this.starves(job);
     const shared = this.term.fetchSharing.shared;
-    return new ImageRanks(job.spec, this.rt.now, shared, any ? Infinity : MOST_SLOWDOWN);
+    const ranks = new ImageRanks(job.spec, this.rt.now, shared, any ? Infinity : MOST_SLOWDOWN);
+    return { job, demand: demandOf(job), ranks, holders: new Holders(job, pass) };
   }
 
   /** A gang is booked only when one window fits all its tasks; nothing is held for part of it. */
@@ -226,17 +228,19 @@
   }
 
   /** Without a fit the timers start again, and room may be made. */
-  private noFit(job: LiveJob, waiting: OpenTask[], pass: Pass, ranks: ImageRanks): void {
+  private noFit(search: Search, waiting: OpenTask[], pass: Pass): void {
     if (waiting.length === 0) return;
+    const { job } = search;
     job.starvedSince ??= this.rt.now;
     for (const task of waiting) {
       if (this.rt.now - task.opened >= this.rt.operator.window.lambda) task.opened = this.rt.now;
     }
-    this.reserveRoom(job, waiting.length, pass, ranks);
+    this.reserveRoom(search, waiting.length, pass);
   }
 
   /** Keeps coming room for the tasks, and has more made where that is allowed. */
-  private reserveRoom(job: LiveJob, tasks: number, pass: Pass, ranks: ImageRanks): void {
+  private reserveRoom(search: Search, tasks: number, pass: Pass): void {
+    const { job, ranks } = search;
     const soonEnough = (d: Desk) => ranks.of(d) !== null;
     const desks = pass.withComingRoom(job).filter(soonEnough);
     let maker: RoomMaker | null = null;
@@ -249,7 +253,7 @@
         continue;
       }
       if (!this.mayMakeRoom(job, maker, pass)) return;
-      maker ??= this.roomMaker(job, pass.everywhere(job).filter(soonEnough), pass, ranks);
+      maker ??= this.roomMaker(search, pass.everywhere(job).filter(soonEnough), pass);
       const made = maker.make();
       if (!made) return;
       this.promise(job, made);
@@ -265,7 +269,7 @@
     return !this.rentable() || waited >= this.patience(job);
   }
 
-  private roomMaker(job: LiveJob, desks: Desk[], pass: Pass, ranks: ImageRanks): RoomMaker {
+  private roomMaker({ job, ranks }: Search, desks: Desk[], pass: Pass): RoomMaker {
     pass.notePlan(desks.length);
     job.roomPlanAt = this.rt.now + ROOM_PLAN_EVERY;
     const reclaims = this.reclaims(job);
@@ -308,13 +312,8 @@
    * A fetch would break the class's aim for starts, while a holder of the image
    * has or can be given room in time: then the task waits for the holder.
    */
-  private waitsForHolder(
-    job: LiveJob,
-    chosen: Desk,
-    holders: Holders,
-    pass: Pass,
-    ranks: ImageRanks,
-  ): boolean {
+  private waitsForHolder(search: Search, chosen: Desk, pass: Pass): boolean {
+    const { job, holders } = search;
     if (chosen.machine.images.has(job.spec.image)) return false;
     const fetch = fetchTime(job.spec.imageGb, chosen.type);
     const left = this.aimFor(job) - (this.rt.now - job.submitted);
@@ -322,7 +321,7 @@
     const wanted = need(job.spec);
     const coming = () => holders.desks.find((d) => fits(wanted, d.coming));
     if (!coming() && this.mayMakeRoom(job, null, pass)) {
-      this.roomMaker(job, holders.desks, pass, ranks).make();
+      this.roomMaker(search, holders.desks, pass).make();
     }
     const holder = coming();
     if (holder) this.promise(job, holder);
@@ -334,7 +333,7 @@
    * for a part of the time that a fetch takes, the next room on one of them is worth
    * waiting for. Work whose image the other machines hold gets their room meanwhile.
    */
-  private holderMayCome(job: LiveJob, chosen: Desk, holders: Holders): boolean {
+  private holderMayCome({ job, holders }: Search, chosen: Desk): boolean {
     const { images, fetching } = chosen.machine;
     const { image, imageGb } = job.spec;
     if (images.has(image) || fetching.has(image)) return false;
