--- a/packages/testing/src/fake-worker.ts
+++ b/packages/testing/src/fake-worker.ts
@@ -240,6 +240,7 @@
     );
     if (this.host.runTime(order.piece) === null) return this.refuse(task, 'no_such');
     if (busy) return this.refuse(task, 'in_use');
+    this.soon();
     this.runIfFetched(task);
   }
 
