--- a/packages/controller/src/fetches.ts
+++ b/packages/controller/src/fetches.ts
@@ -99,7 +99,7 @@
  * since too many fetches on a large machine cost more than waiting for one of them.
  */
 export class FetchSharing {
-  private likely = 1;
+  likely = 1;
 
   get shared(): boolean {
     return this.likely >= 0.5;
--- a/packages/controller/src/hints.ts
+++ b/packages/controller/src/hints.ts
@@ -17,11 +17,13 @@
     ratios: [...term.ratios].map(([jobClass, ratio]) => ({ jobClass, ratio })),
     images: [...images].map(([image, { gb }]) => ({ image, gb })),
     machines: machines.filter((m) => m.held.length > 0),
+    fetchSharing: term.fetchSharing.likely,
   };
 }
 
 export function useHints(hints: Hints, term: Term): void {
   for (const { jobClass, ratio } of hints.ratios) term.ratios.set(jobClass, ratio);
+  term.fetchSharing.likely = hints.fetchSharing;
   for (const { id, held } of hints.machines) {
     const images = held.map((at) => hints.images[at]).filter((i) => i !== undefined);
     term.heldBefore.set(id, images);
--- a/packages/testing/src/fetches.test.ts
+++ b/packages/testing/src/fetches.test.ts
@@ -7,9 +7,9 @@
 const idOf = (n: number): string => `run-${String(n).padStart(6, '0')}`;
 
 /** Jobs of one task each, with an image of their own. */
-function submitImages(world: World, from: number, count: number, gb: number): void {
+function submitImages(world: World, from: number, count: number, gb: number, node = 'n-0'): void {
   for (let n = from; n < from + count; n++) {
-    world.submit(job(n, { batch: 1, bundle: `img-${n}`, image_gb: gb, expected_s: 5 }), 'n-0');
+    world.submit(job(n, { batch: 1, bundle: `img-${n}`, image_gb: gb, expected_s: 5 }), node);
   }
 }
 
@@ -43,6 +43,20 @@
   assert.equal(fetchesSoon(world, 71, 8), 4);
 });
 
+// Each take-over made machines wait again for room that was there.
+test('a successor knows whether fetches share a rate', () => {
+  const world = settled({ capacity: 2, fetches: { gbPerS: 1, shared: false } }, 2);
+  for (let from = 1; from < 60; from += 10) {
+    submitImages(world, from, 8, 6);
+    fetchesSoon(world, from, 8);
+  }
+  world.run(6000);
+  world.crash(world.leader()!);
+  world.run(25_000);
+  submitImages(world, 71, 8, 6, [...world.alive.keys()][0]);
+  assert.equal(fetchesSoon(world, 71, 8), 4);
+});
+
 test('a machine that fetches what it was taken to hold holds it no more', () => {
   const world = settled({ capacity: 1, fetches: { gbPerS: 1, shared: true } }, 1);
   submitImages(world, 1, 1, 20);
--- a/packages/wire/src/peers.ts
+++ b/packages/wire/src/peers.ts
@@ -15,6 +15,8 @@
   ratios: { jobClass: string; ratio: number }[];
   images: { image: string; gb: number }[];
   machines: { id: string; held: number[] }[];
+  /** How likely it is, from 0 to 1, that fetches at the same time share a machine's rate. */
+  fetchSharing: number;
 }
 
 /** What the leader tells the others, for display and as hints. */
@@ -49,6 +51,7 @@
   ratios: listOf(recordOf('ClassRatio', { jobClass: 'string', ratio: 'double' })),
   images: listOf(recordOf('Image', { image: 'string', gb: 'double' })),
   machines: listOf(recordOf('Holder', { id: 'string', held: listOf('int') })),
+  fetchSharing: 'double',
 });
 const ask = message('Ask', { id: 'long', method: 'string', path: 'string', body: 'bytes' });
 const answer = message('Answer', { id: 'long', status: 'int', body: 'bytes' });
