--- a/packages/controller/src/desks.ts
+++ b/packages/controller/src/desks.ts
@@ -75,6 +75,15 @@
   desk: Desk;
 }
 
+/**
+ * When other fetches make a machine no volunteer: they make the task's own this many times
+ * as long, and longer than this. Small images would find no machine without the latter.
+ */
+export interface FetchLimits {
+  slowdown: number;
+  patience: Duration;
+}
+
 /** How soon machines would have the image of one job. */
 export class ImageRanks {
   constructor(
@@ -82,8 +91,7 @@
     private readonly now: Instant,
     /** Fetches at the same time share a machine's rate. */
     private readonly shared: boolean,
-    /** A machine whose other fetches make its own this many times as long is no volunteer. */
-    private readonly mostSlowdown: number,
+    private readonly limits: FetchLimits,
   ) {}
 
   /** Null if the image would come too late for the machine to be a volunteer. */
@@ -91,10 +99,12 @@
     const { image, imageGb } = this.spec;
     if (machine.images.has(image)) return 0;
     if (machine.fetching.size === 0) return 2;
-    const slowdown = this.delay(machine) / soloFetch(imageGb, type);
+    const delay = this.delay(machine);
+    const slowdown = delay / soloFetch(imageGb, type);
     const fetchingIt = machine.fetching.has(image);
     if (fetchingIt && slowdown <= 1) return 1;
-    return slowdown <= this.mostSlowdown ? 2 + Math.floor(slowdown) : null;
+    const soonEnough = delay <= this.limits.patience || slowdown <= this.limits.slowdown;
+    return soonEnough ? 2 + Math.floor(slowdown) : null;
   }
 
   delay(machine: Machine): Duration {
--- a/packages/controller/src/placer.ts
+++ b/packages/controller/src/placer.ts
@@ -200,7 +200,11 @@
     // A gang is booked as a whole, and a job that nothing has begun of takes what there is.
     const any = job.spec.kind === 'gang' || this.starves(job);
     const shared = this.term.fetchSharing.shared;
-    const ranks = new ImageRanks(job.spec, this.rt.now, shared, any ? Infinity : MOST_SLOWDOWN);
+    const limits = {
+      slowdown: any ? Infinity : MOST_SLOWDOWN,
+      patience: this.rt.operator.window.lambda,
+    };
+    const ranks = new ImageRanks(job.spec, this.rt.now, shared, limits);
     return { job, demand: demandOf(job), ranks, holders: new Holders(job, pass) };
   }
 
--- a/packages/testing/src/fetches.test.ts
+++ b/packages/testing/src/fetches.test.ts
@@ -43,6 +43,16 @@
   assert.equal(fetchesSoon(world, 71, 8), 4);
 });
 
+// Next to any other fetch, that of a small image takes many times as long as alone.
+test('a task with a small image does not wait for a machine without fetches', () => {
+  const world = settled({ capacity: 1, fetches: { gbPerS: 1, shared: true } }, 1);
+  submitImages(world, 1, 1, 4);
+  world.run(1500);
+  submitImages(world, 2, 1, 0.1);
+  world.run(2000);
+  assert.equal([...world.workers.values()][0]!.tasks.length, 2);
+});
+
 // Each take-over made machines wait again for room that was there.
 test('a successor knows whether fetches share a rate', () => {
   const world = settled({ capacity: 2, fetches: { gbPerS: 1, shared: false } }, 2);
