A poll's proof compares the version known when the poll came

A job's version was forgotten, by a retried submission that read its end, between a poll and the proof that the poll waited for; the proof then compared with 'does not exist', which a key that is gone satisfies, and the job was told to be live.

--- a/packages/controller/src/live-proofs.ts
+++ b/packages/controller/src/live-proofs.ts
@@ -14,7 +14,15 @@
 /** `live`: its key still had the version known. `changed`: it had not. */
 export type Proof = 'live' | 'changed' | 'unsure';
 
-type Asked = [job: string, asked: ((proof: Proof) => void)[]];
+/**
+ * Polls about one job, and the version that its key had when the first of them came. The
+ * job may be forgotten before they are compared: a key that is gone must not look the same.
+ */
+interface Asked {
+  job: string;
+  version: number;
+  polls: ((proof: Proof) => void)[];
+}
 
 /**
  * Proves for many polls at once that their jobs are live: one transaction without
@@ -24,7 +32,7 @@
 export class LiveProofs {
   /** Versions of live jobs' keys, as this node last read or wrote them. */
   private readonly known = new Map<string, number>();
-  private waiting = new Map<string, ((proof: Proof) => void)[]>();
+  private waiting = new Map<string, Asked>();
   private planned = false;
 
   constructor(
@@ -45,10 +53,11 @@
 
   /** False where no version is known, so that the key has to be read. */
   ask(job: string, done: (proof: Proof) => void): boolean {
-    if (!this.known.has(job)) return false;
-    const asked = this.waiting.get(job);
-    if (asked) asked.push(done);
-    else this.waiting.set(job, [done]);
+    const version = this.known.get(job);
+    if (version === undefined) return false;
+    const asked = this.waiting.get(job) ?? { job, version, polls: [] };
+    asked.polls.push(done);
+    this.waiting.set(job, asked);
     this.plan();
     return true;
   }
@@ -63,25 +72,22 @@
   }
 
   private prove(): void {
-    const all = [...this.waiting];
+    const all = [...this.waiting.values()];
     this.waiting = new Map();
     const most = this.rt.settings.state.txnOps * GUARDS_A_WRITE;
     for (let at = 0; at < all.length; at += most) this.compare(all.slice(at, at + most));
   }
 
   private compare(batch: Asked[]): void {
-    const guards: Guard[] = batch.map(([job]) => ({
-      key: specKey(job),
-      version: this.known.get(job) ?? 0,
-    }));
+    const guards: Guard[] = batch.map(({ job, version }) => ({ key: specKey(job), version }));
     this.state.compare(guards, TIMEOUT, (compared) => {
       if (compared.kind === 'equal') return this.settle(batch, 'live');
       if (compared.kind === 'unsure') return this.settle(batch, 'unsure');
       const changed = new Set(compared.failed);
       const [gone, rest] = [true, false].map((is) =>
-        batch.filter(([job]) => changed.has(specKey(job)) === is),
+        batch.filter(({ job }) => changed.has(specKey(job)) === is),
       );
-      for (const [job] of gone!) this.forget(job);
+      for (const { job } of gone!) this.forget(job);
       this.settle(gone!, 'changed');
       // Nothing says that the list of what failed is whole: the others are asked again.
       if (rest!.length > 0 && gone!.length > 0) this.compare(rest!);
@@ -90,6 +96,6 @@
   }
 
   private settle(batch: Asked[], proof: Proof): void {
-    for (const [, asked] of batch) for (const done of asked) done(proof);
+    for (const { polls } of batch) for (const done of polls) done(proof);
   }
 }
--- a/packages/testing/src/troubles.test.ts
+++ b/packages/testing/src/troubles.test.ts
@@ -158,6 +158,23 @@
   keepsRules(world);
 });
 
+// The job was forgotten between a poll and its proof, and the key that was gone looked equal.
+test('a poll beside a retried submission of a job that has ended is told its end', () => {
+  for (let pause = 0; pause <= 500; pause += 50) {
+    const world = settled();
+    world.submit(job(1, { batch: 1, expected_s: 6 }), 'n-0');
+    world.run(4000);
+    world.poll(A, 'n-1');
+    assert.ok(world.runUntil(() => world.checker.doneTasks(A).size === 1, 30_000));
+    world.run(3000);
+    assert.equal(status(ask(world, (d) => world.poll(A, 'n-2', d))), 'done');
+    world.submit(job(1), 'n-1');
+    world.at(pause, () => world.poll(A, 'n-1'));
+    world.run(2000);
+    keepsRules(world);
+  }
+});
+
 // Shards hold many entries: a late write of an old one would undo all that came since.
 test('a commit that is carried out late does not take later machines off the roster', () => {
   const world = settled({ capacity: 6, runTime: 4000 }, 2);
