--- a/packages/adapters/src/call-gates.ts
+++ b/packages/adapters/src/call-gates.ts
@@ -33,7 +33,7 @@
     const patience = call.timeout * WAIT_PART;
     const take = (b: TokenBucket, cost: number, run: () => void) =>
       b.take(cost, call.priority, patience, run, drop);
-    if (call.target === 'peer') send();
+    if (call.target === 'peer' || call.target === 'worker') send();
     else if (call.target === 'cloud') take(this.cloudCalls, 1, send);
     else take(this.stateWrites, call.writes, () => take(this.stateCalls, 1, send));
   }
--- a/packages/adapters/src/http-client.ts
+++ b/packages/adapters/src/http-client.ts
@@ -14,6 +14,8 @@
   timeout: number;
 }
 
+const MOST_PORT = 65_535;
+
 export function splitAddress(address: string): { host: string; port: number } {
   const cut = address.lastIndexOf(':');
   return { host: address.slice(0, cut), port: Number(address.slice(cut + 1)) };
@@ -23,16 +25,20 @@
 export class HttpClient {
   private readonly agent: Agent;
 
-  constructor(maxSockets: number) {
+  /** Without `keepAlive`, calls to many hosts leave no sockets behind. */
+  constructor(maxSockets: number, keepAlive = true) {
     this.agent = new Agent({
-      keepAlive: true,
+      keepAlive,
       maxSockets,
+      maxTotalSockets: maxSockets,
       maxFreeSockets: maxSockets,
       noDelay: true,
     });
   }
 
   send(call: HttpCall, done: (result: CallResult) => void): void {
+    // Addresses of workers come from outside: an impossible one must not throw.
+    if (!(call.port > 0 && call.port <= MOST_PORT)) return done({ kind: 'unsent' });
     let settled = false;
     const settle = (result: CallResult) => {
       if (settled) return;
--- a/packages/adapters/src/service.ts
+++ b/packages/adapters/src/service.ts
@@ -3,6 +3,7 @@
   CLOUD_SOCKETS,
   Controller,
   STATE_SOCKETS,
+  WORKER_SOCKETS,
   socketShares,
   type Stats,
   type Call,
@@ -37,6 +38,7 @@
   private readonly peers: PeerLink;
   private readonly stateHttp = new HttpClient(STATE_SOCKETS);
   private readonly cloudHttp = new HttpClient(CLOUD_SOCKETS);
+  private readonly workerHttp = new HttpClient(WORKER_SOCKETS, false);
   private readonly gates: CallGates;
   private readonly responders = new Map<number, Respond>();
   private readonly queue = new CommandQueue();
@@ -153,6 +155,7 @@
     const { stateAddr, cloudAddr } = this.parts.settings;
     const send = () => {
       if (call.target === 'peer') return this.peers.ask(call, done);
+      if (call.target === 'worker') return this.send(this.workerHttp, call.to, call, done);
       if (call.target === 'cloud') return this.send(this.cloudHttp, cloudAddr, call, done);
       this.parts.stats.record('calls.state.waited_ms', performance.now() - asked);
       this.send(this.stateHttp, stateAddr, call, done);
--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -1,7 +1,9 @@
 import {
+  CANCELLATIONS_PATH,
   HEALTH_PATH,
   REPORT_PATH,
   WireError,
+  parseCancellations,
   parseReport,
   renderRedirect,
   renderReportAnswer,
@@ -13,11 +15,12 @@
 } from '@tealdock/wire';
 import { Catalog } from './catalog.js';
 import { Completer } from './completer.js';
+import { DirectStops } from './direct-stops.js';
 import { FleetKeeper } from './fleet-keeper.js';
 import { HeldAnswers } from './held-answers.js';
 import { hintsOf, useHints } from './hints.js';
 import { Keeper } from './keeper.js';
-import { Leadership } from './leadership.js';
+import { Leadership, type Held } from './leadership.js';
 import { Peers } from './peers.js';
 import { Placer } from './placer.js';
 import type { Command, Effect } from './ports.js';
@@ -70,11 +73,16 @@
     );
     this.catalog = new Catalog(this.rt, this.state, this.leadership);
     this.peers = new Peers(this.rt);
-    this.requests = new Requests(this.rt, this.state, this.catalog, this.peers, (id) =>
-      this.peers.countsOf(id),
+    this.requests = new Requests(
+      this.rt,
+      this.state,
+      this.catalog,
+      this.peers,
+      (id) => this.peers.countsOf(id),
+      (id) => this.spreadCancellation(id),
     );
     this.keeper = new Keeper(this.rt, this.state, this.leadership, this.peers, (job, done) =>
-      this.requests.proveLive(job, done),
+      this.requests.prove(job, done),
     );
   }
 
@@ -155,7 +163,7 @@
     const term = new Term(this.rt, this.state, this.leadership, token);
     if (this.peers.hints) useHints(this.peers.hints, term);
     this.term = term;
-    this.held = new HeldAnswers(this.rt, term, () => this.leadership.held());
+    this.held = new HeldAnswers(this.rt, term, () => this.entitled());
     const types = () => this.catalog.types;
     const fleet = new FleetKeeper(this.rt, this.state, this.leadership, term, types);
     const placer = new Placer(
@@ -168,6 +176,7 @@
     );
     term.start();
     new Completer(this.rt, this.state, this.leadership, term).start();
+    new DirectStops(this.rt, term, () => this.entitled() !== null).start();
     placer.start();
     fleet.start();
   }
@@ -180,6 +189,21 @@
     this.held = null;
   }
 
+  /**
+   * What allows an answer that renews a lease: leadership, and news of cancellations that
+   * is fresh enough. A term that has not read what is live knows of none.
+   */
+  private entitled(): Held | null {
+    const held = this.leadership.held();
+    if (!held || !this.term?.loaded || this.term.knowsUntil <= this.rt.now) return null;
+    return { ...held, validUntil: Math.min(held.validUntil, this.term.knowsUntil) };
+  }
+
+  private spreadCancellation(id: string): void {
+    this.term?.cancelled(id);
+    this.peers.tellCancelled([id]);
+  }
+
   /** A leader that workers can't reach makes way for one that they can. */
   private resignIfDeaf(): void {
     const term = this.term;
@@ -196,6 +220,9 @@
     if (request.path === HEALTH_PATH) return this.health(request);
     if (request.path === REPORT_PATH) return this.hello(request);
     if (request.path === STATS_PATH) return this.tellStats(request);
+    if (request.path === CANCELLATIONS_PATH && request.via === 'peer') {
+      return this.hearCancellations(request);
+    }
     if (this.requests.handle(request)) return;
     this.rt.reply(request.id, { status: 404, body: { error: 'no such path' } });
   }
@@ -215,6 +242,21 @@
     this.rt.reply(request.id, { status: 200, body: this.rt.stats.view() });
   }
 
+  private hearCancellations(request: Request): void {
+    try {
+      const jobs = parseCancellations(unpackBody(request.body));
+      for (const id of jobs) this.term?.cancelled(id);
+      this.rt.reply(request.id, { status: 200, body: {} });
+    } catch (error) {
+      this.malformed(request, error);
+    }
+  }
+
+  private malformed(request: Request, error: unknown): void {
+    if (!(error instanceof WireError)) throw error;
+    this.rt.reply(request.id, { status: 400, body: { error: error.message } });
+  }
+
   /**
    * In an outage common to all, nodes stay healthy: removals would only double
    * the load balancer's pause. A node cut off from everything says so.
@@ -231,13 +273,13 @@
     try {
       report = parseReport(unpackBody(request.body));
     } catch (error) {
-      if (!(error instanceof WireError)) throw error;
-      return this.rt.reply(request.id, { status: 400, body: { error: error.message } });
+      return this.malformed(request, error);
     }
     this.leadership.outranked(report.token);
-    const held = this.leadership.held();
+    const held = this.entitled();
     if (!held || !this.term) return this.redirect(request, report);
-    const { counted, orders } = this.term.report(report);
+    const { counted, answered, orders } = this.term.report(report);
+    if (!answered) return this.sendOn(request.id, null);
     this.rt.stats.count(counted ? 'reports.counted' : 'reports.ignored');
     // Only a newer report shows that the one before was given up; a late copy does not.
     if (counted) this.held?.drop(report.machine, held);
@@ -307,7 +349,7 @@
    */
   private unpark(): void {
     if (this.parked.size === 0) return;
-    const leads = this.leadership.held() !== null && this.term !== null;
+    const leads = this.entitled() !== null;
     const leader = this.liveLeader();
     const keeps = !leads && leader === null && this.keeper.mayKeep;
     if (!leads && !keeps && leader === null && !this.state.doubtful) return;
--- /dev/null
+++ b/packages/controller/src/direct-stops.ts
@@ -0,0 +1,80 @@
+import { COMMANDS_PATH, renderCommands, type Instant, type Order } from '@tealdock/wire';
+import type { Machine } from './machine.js';
+import { PRIORITY } from './ports.js';
+import type { Runtime } from './runtime.js';
+import type { Term } from './term.js';
+
+const LOOK_EVERY = 500;
+const TIMEOUT = 2000;
+/** A machine is told again after this long, while the task is still on it. */
+const AGAIN = 4000;
+const MOST_UNDER_WAY = 12;
+/** Reports that are late by this much may not come at all. */
+const MISSED_REPORTS = 2;
+
+/**
+ * Stops tasks of jobs that have ended by a command to their worker, where no answer to a
+ * report does it: this node may not answer just now, or the worker's reports don't come.
+ * The end of a job is final, so such a stop is right also late, and from a leader of the
+ * past. The rule does not rest on it: leases end in time anyway (docs/safety.md).
+ */
+export class DirectStops {
+  private readonly told = new Map<string, Instant>();
+  private underWay = 0;
+
+  constructor(
+    private readonly rt: Runtime,
+    private readonly term: Term,
+    private readonly answers: () => boolean,
+  ) {}
+
+  start(): void {
+    this.rt.every(LOOK_EVERY, () => {
+      if (!this.term.closed) this.look();
+      return !this.term.closed;
+    });
+  }
+
+  private look(): void {
+    const answers = this.answers();
+    for (const m of this.term.machines.values()) {
+      if (this.underWay >= MOST_UNDER_WAY) return;
+      if (m.addr === '' || m.bindings.size === 0) continue;
+      if (answers && !this.misses(m)) continue;
+      if (this.rt.now - (this.told.get(m.id) ?? -Infinity) < AGAIN) continue;
+      const orders = this.stopsFor(m);
+      if (orders.length > 0) this.send(m, orders);
+    }
+  }
+
+  private misses(m: Machine): boolean {
+    const heard = m.lastCounted ?? this.term.acquired;
+    return this.rt.now - heard > this.rt.settings.reportEvery * MISSED_REPORTS;
+  }
+
+  private stopsFor(m: Machine): Order[] {
+    const orders: Order[] = [];
+    for (const b of m.bindings.values()) {
+      if (b.phase === 'booked' || !this.term.isOver(b)) continue;
+      orders.push({ op: 'stop', task: b.task, attempt: b.attempt, grace: 0 });
+    }
+    return orders;
+  }
+
+  private send(m: Machine, orders: Order[]): void {
+    this.told.set(m.id, this.rt.now);
+    this.underWay++;
+    this.rt.stats.count('stops.direct', orders.length);
+    const call = {
+      target: 'worker' as const,
+      to: m.addr,
+      method: 'POST',
+      path: COMMANDS_PATH,
+      body: renderCommands(this.term.token, m.session, orders),
+      priority: PRIORITY.leader,
+      writes: 0,
+      timeout: TIMEOUT,
+    };
+    this.rt.call(call, () => this.underWay--);
+  }
+}
--- a/packages/controller/src/keeper.ts
+++ b/packages/controller/src/keeper.ts
@@ -1,8 +1,17 @@
-import { renderReportAnswer, splitTaskId, type Instant, type WorkerReport } from '@tealdock/wire';
+import {
+  renderReportAnswer,
+  splitTaskId,
+  type Instant,
+  type Order,
+  type TaskReport,
+  type WorkerReport,
+} from '@tealdock/wire';
 import { KEEPER_PREFIX, LEADER_KEY, type GrantValue } from './keys.js';
 import type { Leadership } from './leadership.js';
 import type { Peers } from './peers.js';
+import { newsLife } from './news.js';
 import { PRIORITY } from './ports.js';
+import type { Liveness } from './requests.js';
 import type { Runtime } from './runtime.js';
 import type { StateStore } from './state-store.js';
 
@@ -29,8 +38,8 @@
  * Keeps workers' leases alive while a cut between zones parts them from a leader
  * that still leads. A grant in the state service, guarded by the leader's key, lets
  * this node answer reports with the leader's token and without orders; leaders look
- * for grants before they call a machine silent (docs/safety.md). A worker with a task
- * of a job that is not live is not kept, so nothing cancelled runs on.
+ * for grants before they call a machine silent (docs/safety.md). Each task on a kept
+ * worker is of a job proven live just now, or is stopped by the same answer.
  */
 export class Keeper {
   private grant: Grant | null = null;
@@ -43,7 +52,7 @@
     private readonly state: StateStore,
     private readonly leadership: Leadership,
     private readonly peers: Peers,
-    private readonly proveLive: (job: string, done: (live: boolean) => void) => void,
+    private readonly prove: (job: string, done: (proof: Liveness) => void) => void,
   ) {}
 
   /** The leader's key stands though nothing has been heard of it for a while. */
@@ -57,10 +66,12 @@
   keep(report: WorkerReport, answer: Answer): void {
     this.withGrant((grant) => {
       if (!grant || report.token > grant.token) return answer(421, {});
-      this.proveAll(jobsOf(report), (live) => {
-        if (!live) return answer(421, {});
+      const present = report.tasks.filter((t) => t.state !== 'exited');
+      this.proveAll([...new Set(present.map(jobOf))], (ended) => {
+        if (!ended) return answer(421, {});
         this.rt.stats.count('reports.kept');
-        answer(200, renderReportAnswer(grant.token, []), grant.until);
+        const over = present.filter((t) => ended.has(jobOf(t)));
+        answer(200, renderReportAnswer(grant.token, over.map(killOf)), grant.until);
       });
     });
   }
@@ -95,17 +106,20 @@
 
   // --- jobs ------------------------------------------------------------------
 
-  private proveAll(jobs: string[], done: (live: boolean) => void): void {
+  /** Jobs of these that are over; null if one can't be told. */
+  private proveAll(jobs: string[], done: (ended: Set<string> | null) => void): void {
     const open = jobs.filter((job) => !this.provenLately(job));
+    const ended = new Set<string>();
     let left = open.length;
-    if (left === 0) return done(true);
-    let all = true;
+    if (left === 0) return done(ended);
+    let sure = true;
     for (const job of open) {
       const asked = this.rt.now;
-      this.proveLive(job, (live) => {
-        if (live) this.noteProven(job, asked);
-        all &&= live;
-        if (--left === 0) done(all);
+      this.prove(job, (proof) => {
+        if (proof === 'live') this.noteProven(job, asked);
+        if (proof === 'ended') ended.add(job);
+        sure &&= proof !== 'unsure';
+        if (--left === 0) done(sure ? ended : null);
       });
     }
   }
@@ -121,14 +135,14 @@
   private provenLately(job: string): boolean {
     const at = this.proven.get(job);
     if (at === undefined) return false;
-    if (this.rt.now - at <= PROOF_LIFE) return true;
+    const life = Math.min(PROOF_LIFE, newsLife(this.rt.settings));
+    if (this.rt.now - at <= life) return true;
     this.proven.delete(job);
     return false;
   }
 }
 
-/** Jobs of the tasks that are still on the machine. */
-function jobsOf(report: WorkerReport): string[] {
-  const present = report.tasks.filter((t) => t.state !== 'exited');
-  return [...new Set(present.map((t) => splitTaskId(t.task)?.job ?? t.task))];
-}
+const jobOf = (t: TaskReport): string => splitTaskId(t.task)?.job ?? t.task;
+
+/** What is over is over whoever says so: a stop, unlike a start, needs no leader. */
+const killOf = ({ task, attempt }: TaskReport): Order => ({ op: 'stop', task, attempt, grace: 0 });
--- a/packages/controller/src/machine.ts
+++ b/packages/controller/src/machine.ts
@@ -68,6 +68,8 @@
   /** Arrival of the newest report that was answered with 200 in this term. */
   lastHeard: Instant | null = null;
   lastCounted: Instant | null = null;
+  /** First answered in this term, while its reports still carried an older token. */
+  answeredFrom: Instant | null = null;
   /** Its tasks are known in this term, or it is proven to have none of older terms. */
   resolved = false;
   /** The roster in the state service has it; no start goes out before. */
--- a/packages/controller/src/peers.ts
+++ b/packages/controller/src/peers.ts
@@ -1,5 +1,13 @@
-import type { Hints, Instant, JobCount, Told } from '@tealdock/wire';
-import { PRIORITY, type CallResult, type Command } from './ports.js';
+import {
+  CANCELLATIONS_PATH,
+  packBody,
+  renderCancellations,
+  type Hints,
+  type Instant,
+  type JobCount,
+  type Told,
+} from '@tealdock/wire';
+import { PRIORITY, type CallPriority, type CallResult, type Command } from './ports.js';
 import type { Runtime } from './runtime.js';
 
 const BEAT_EVERY = 1000;
@@ -75,12 +83,31 @@
     return peer?.member ?? null;
   }
 
+  /** Whichever of them leads can have the tasks stopped at once; nothing rests on its arriving. */
+  tellCancelled(jobs: string[]): void {
+    const body = packBody(renderCancellations(jobs));
+    for (const { member } of this.rt.settings.peers) {
+      this.send(member, 'POST', CANCELLATIONS_PATH, body, PRIORITY.leader, () => undefined);
+    }
+  }
+
   /** Has a served peer answer a user's request; false if there is none. */
   ask(method: string, path: string, body: Buffer, done: (r: CallResult) => void): boolean {
     const to = this.served;
     if (to === null) return false;
-    const call = { target: 'peer' as const, to, method, path, body };
-    this.rt.call({ ...call, priority: PRIORITY.user, writes: 0, timeout: ASK_TIMEOUT }, done);
+    this.send(to, method, path, body, PRIORITY.user, done);
     return true;
   }
+
+  private send(
+    to: string,
+    method: string,
+    path: string,
+    body: Buffer,
+    priority: CallPriority,
+    done: (r: CallResult) => void,
+  ): void {
+    const call = { target: 'peer' as const, to, method, path, body, priority };
+    this.rt.call({ ...call, writes: 0, timeout: ASK_TIMEOUT }, done);
+  }
 }
--- a/packages/controller/src/ports.ts
+++ b/packages/controller/src/ports.ts
@@ -11,7 +11,7 @@
 
 export type Via = 'public' | 'peer';
 
-export type Target = 'state' | 'cloud' | 'peer';
+export type Target = 'state' | 'cloud' | 'peer' | 'worker';
 
 /** Lower goes first when tokens are short. */
 export const PRIORITY = { lease: 0, user: 1, leader: 2, background: 3 } as const;
@@ -19,7 +19,7 @@
 
 export interface Call {
   target: Target;
-  /** Name of a peer; empty for the others. */
+  /** Name of a peer, address of a worker; empty for the others. */
   to: string;
   method: string;
   path: string;
--- a/packages/controller/src/requests.ts
+++ b/packages/controller/src/requests.ts
@@ -29,6 +29,9 @@
   | { kind: 'none' }
   | { kind: 'unsure' };
 
+/** `unsure` also for a job that was never accepted. */
+export type Liveness = 'live' | 'ended' | 'unsure';
+
 const RETRY_AFTER = 1000;
 const MOST_CACHED = 2000;
 const MOST_PENDING = 400;
@@ -58,6 +61,7 @@
     private readonly catalog: Catalog,
     private readonly peers: Peers,
     private readonly counts: (id: string) => JobCounts | undefined,
+    private readonly onCancelled: (id: string) => void,
   ) {
     this.proofs = new LiveProofs(rt, state);
   }
@@ -112,10 +116,12 @@
     if (!proven) this.read(id, answer);
   }
 
-  /** Whether the job was live at some moment after this was asked. */
-  proveLive(id: string, done: (live: boolean) => void): void {
-    const proven = this.proofs.ask(id, (proof) => done(proof === 'live'));
-    if (!proven) this.look(id, (known) => done(known.kind === 'live'));
+  /** Whether the job was live at some moment after this was asked, or is over for good. */
+  prove(id: string, done: (proof: Liveness) => void): void {
+    const look = () =>
+      this.look(id, (known) => done(known.kind === 'none' ? 'unsure' : known.kind));
+    const proven = this.proofs.ask(id, (proof) => (proof === 'changed' ? look() : done(proof)));
+    if (!proven) look();
   }
 
   private read(id: string, answer: Answer): void {
@@ -243,6 +249,7 @@
       if (committed.kind === 'conflict') return this.cancel(id, tries - 1, answer);
       if (committed.kind !== 'ok') return answer(unsure());
       this.rt.env.log('info', { job: id }, 'job cancelled');
+      this.onCancelled(id);
       answer(shown({ id, state: 'cancelled' }));
     });
   }
--- a/packages/controller/src/sockets.ts
+++ b/packages/controller/src/sockets.ts
@@ -3,6 +3,8 @@
 /** Sockets for calls to the state service, and to the cloud. */
 export const STATE_SOCKETS = 24;
 export const CLOUD_SOCKETS = 8;
+/** For stops that go to workers directly. */
+export const WORKER_SOCKETS = 12;
 /** Links to and from a peer, with those that are about to end or begin. */
 const SOCKETS_A_PEER = 8;
 /** What listens, and sockets that the host has not yet let go. */
@@ -31,7 +33,11 @@
 export function socketShares(settings: Pick<Settings, 'maxConnections' | 'peers'>): SocketShares {
   const all = settings.maxConnections;
   const own =
-    STATE_SOCKETS + CLOUD_SOCKETS + settings.peers.length * SOCKETS_A_PEER + SPARE_SOCKETS;
+    STATE_SOCKETS +
+    CLOUD_SOCKETS +
+    WORKER_SOCKETS +
+    settings.peers.length * SOCKETS_A_PEER +
+    SPARE_SOCKETS;
   const turnedAway = Math.max(LEAST_TURNED_AWAY, Math.floor(all * TURNED_AWAY_PART));
   // A host that allows very little still serves: calls then queue for their sockets.
   const clients = Math.max(Math.floor(all / 2), all - own - turnedAway);
--- a/packages/controller/src/state-store.ts
+++ b/packages/controller/src/state-store.ts
@@ -47,6 +47,8 @@
 
 const READ_TIMEOUT = 1200;
 const COMMIT_TIMEOUT = 2000;
+/** How long after its time a watch may be answered. */
+const WATCH_SLACK = 2000;
 const PAGE = 200;
 /** Calls without a good answer for this long mean that the service is lost to this node. */
 const LOST_AFTER = 2500;
@@ -142,7 +144,7 @@
 
   watch(prefix: string, after: number, hold: number, done: (watched: Watched) => void): void {
     const path = watchPath(prefix, after, hold);
-    this.send('GET', path, null, PRIORITY.leader, 0, hold + 4000, (r) => {
+    this.send('GET', path, null, PRIORITY.leader, 0, hold + WATCH_SLACK, (r) => {
       if (r.kind === 'answer' && r.status === 410) return done({ kind: 'too_old' });
       const news =
         r.kind === 'answer' && r.status === 200 ? attempt(() => parseChanges(r.body)) : null;
--- a/packages/controller/src/term.ts
+++ b/packages/controller/src/term.ts
@@ -28,6 +28,7 @@
 import { Ledger } from './ledger.js';
 import { LiveJob } from './live-job.js';
 import { Machine, bindingKey, type Binding, type StopWish } from './machine.js';
+import { newsLife } from './news.js';
 import { PackedTable } from './packed-table.js';
 import { PRIORITY } from './ports.js';
 import type { Runtime } from './runtime.js';
@@ -35,7 +36,10 @@
 import type { StateStore } from './state-store.js';
 
 const RETRY = 400;
-const WATCH_HOLD = 10_000;
+/** Short, since the send of an answered watch is how far this term surely knows the news. */
+const WATCH_HOLD = 1000;
+/** A start leaves only while the news is at most this old. */
+const START_NEWS = 2000;
 /** Attempts of one term to one task; their numbers never meet another term's. */
 const ATTEMPTS_A_TERM = 65_536;
 /** A booking that the machine does not come for is given to another one. */
@@ -48,12 +52,19 @@
 /** How long a machine is put aside whose start never showed up; fourfold each time. */
 const LOST_START_ASIDE = 3000;
 
+/** A worker learns the token from the first answer that it hears. */
+const DEAF_PATIENCE = 8000;
+
 /** What came of a report. */
 interface Taken {
   /** False for a report that is late, or made under another token. */
   counted: boolean;
+  /** False if it must not get the answer that renews its lease. */
+  answered: boolean;
   orders: Order[];
 }
+const IGNORED: Taken = { counted: false, answered: true, orders: [] };
+const UNANSWERED: Taken = { ...IGNORED, answered: false };
 
 /**
  * What one term of leadership knows: live jobs, machines and which task is bound
@@ -84,7 +95,10 @@
   private smallest: Resources = NOTHING;
   private wasReady = false;
   private readonly gone = new Set<string>();
-  private readonly early = new Map<string, WorkerReport>();
+  /** Jobs that have ended. News of their submission may still be on its way. */
+  private readonly over = new Set<string>();
+  /** Every cancellation committed before this is known here. */
+  private knownTo: Instant = -Infinity;
   private readonly lookups = new Map<string, Binding[]>();
 
   constructor(
@@ -109,6 +123,14 @@
     });
   }
 
+  /**
+   * Until when answers may renew leases: what was cancelled before `knownTo` is killed by
+   * them, and what was cancelled since is so recent that leases end in time (safety.md).
+   */
+  get knowsUntil(): Instant {
+    return this.knownTo + newsLife(this.rt.settings);
+  }
+
   /** Each machine of the roster is accounted for. */
   get ready(): boolean {
     return this.settled && this.unresolved().length === 0;
@@ -154,9 +176,11 @@
     const retry = () => this.rt.after(RETRY, () => this.load());
     this.readTables((roster, progress) => {
       if (!roster || !progress) return retry();
+      const asked = this.rt.now;
       this.state.readAll(LIVE_PREFIX, PRIORITY.leader, (live) => {
         if (!live) return retry();
         if (this.closed) return;
+        this.knownTo = asked;
         for (const [id, entry] of this.roster.load(roster)) this.loadMachine(id, entry);
         this.loadJobs(live.items);
         this.progressStored(this.progress.load(progress));
@@ -184,8 +208,6 @@
       { token: this.token, jobs: this.jobs.size, machines: this.machines.size },
       'term loaded',
     );
-    for (const report of this.early.values()) this.absorb(report);
-    this.early.clear();
     this.watch(revision);
   }
 
@@ -217,7 +239,7 @@
   }
 
   private addJob(id: string, stored: unknown, version: number): void {
-    if (this.jobs.has(id)) return;
+    if (this.jobs.has(id) || this.over.has(id)) return;
     const value = readLive(stored);
     if (!value) return this.rt.env.log('error', { job: id }, 'stored job can not be read');
     const age = Math.max(0, this.rt.today.getTime() - value.submitted);
@@ -230,10 +252,12 @@
 
   private watch(revision: number): void {
     if (this.closed) return;
+    const asked = this.rt.now;
     this.state.watch(LIVE_PREFIX, revision, WATCH_HOLD, (watched) => {
       if (this.closed) return;
       if (watched.kind === 'failed') return this.rt.after(RETRY, () => this.watch(revision));
       if (watched.kind === 'too_old') return this.reread();
+      this.knownTo = asked;
       for (const event of watched.events) this.jobEvent(event);
       this.watch(watched.revision);
     });
@@ -242,9 +266,11 @@
   /** The watch fell too far behind: compare with everything that is live now. */
   private reread(): void {
     if (this.closed) return;
+    const asked = this.rt.now;
     this.state.readAll(LIVE_PREFIX, PRIORITY.leader, (live) => {
       if (this.closed) return;
       if (!live) return this.rt.after(RETRY, () => this.reread());
+      this.knownTo = asked;
       const specs = live.items.filter((i) => i.key.endsWith('/spec'));
       const alive = new Set(specs.map((i) => splitLiveKey(i.key)?.job));
       for (const id of [...this.jobs.keys()]) if (!alive.has(id)) this.endJob(id);
@@ -260,15 +286,27 @@
     else this.addJob(at.job, event.value, event.version);
   }
 
+  /** The node that committed a cancellation says so, sooner than the watch or without it. */
+  cancelled(id: string): void {
+    remember(this.over, id);
+    this.endJob(id);
+  }
+
   /** A job that is no longer live: by its own end, or cancelled on any node. */
   endJob(id: string): void {
     const job = this.jobs.get(id);
     if (!job) return;
     this.jobs.delete(id);
+    remember(this.over, id);
     this.rt.env.log('info', { job: id, done: job.doneCount }, 'job ended');
     for (const b of job.bound.values()) this.discard(b, 'job ended');
   }
 
+  /** Its job has ended, for good: known from an event, by word, or from a read of its end. */
+  isOver(binding: Binding): boolean {
+    return this.over.has(binding.job);
+  }
+
   /** No longer wanted: an unsent booking goes at once, anything else is killed and counted. */
   private discard(binding: Binding, reason: string): void {
     if (binding.phase === 'booked') return this.unbind(binding);
@@ -288,30 +326,27 @@
   /** Takes in a report; its answer may carry the orders. */
   report(report: WorkerReport): Taken {
     this.lastReport = this.rt.now;
-    const ignored = { counted: false, orders: [] };
-    if (this.gone.has(report.machine)) return ignored;
+    if (this.gone.has(report.machine)) return IGNORED;
     const m = this.machineOf(report);
+    if (this.deafToTerm(m, report)) return UNANSWERED;
     // Its lease is renewed by the answer, whatever the report is worth otherwise.
     m.lastHeard = this.rt.now;
-    if (!this.loaded) {
-      if (report.token === this.token) this.keepEarly(report);
-      return ignored;
-    }
     // Tasks of a report sent before the worker saw this token may be outdated by
     // a start of the term before; a late report is outdated by a newer one.
-    if (report.token !== this.token || !m.isNews(report)) return ignored;
+    if (report.token !== this.token || !m.isNews(report)) return IGNORED;
     this.absorb(report);
-    return { counted: true, orders: this.ordersFor(m) };
+    return { counted: true, answered: true, orders: this.ordersFor(m) };
   }
 
-  /** The newest one counts: a late copy must not take the place of a newer report. */
-  private keepEarly(report: WorkerReport): void {
-    const kept = this.early.get(report.machine);
-    const older =
-      kept !== undefined &&
-      (report.session < kept.session ||
-        (report.session === kept.session && report.seq <= kept.seq));
-    if (!older) this.early.set(report.machine, report);
+  /**
+   * Its reports go on under an older token although they were answered under ours: it
+   * hears nothing. Each answer would make its lease look renewed, and the whole roster
+   * would wait for it for as long as it is deaf. Without answers its lease surely ends.
+   */
+  private deafToTerm(m: Machine, report: WorkerReport): boolean {
+    if (m.resolved || report.token === this.token) return false;
+    m.answeredFrom ??= this.rt.now;
+    return this.rt.now - m.answeredFrom > DEAF_PATIENCE;
   }
 
   private machineOf(report: WorkerReport): Machine {
@@ -494,7 +529,10 @@
       if (got.kind === 'failed') return this.rt.after(RETRY, () => this.askFor(job));
       const bindings = this.lookups.get(job) ?? [];
       this.lookups.delete(job);
-      if (got.kind === 'found') this.fill(bindings, (got.item.value as EndedValue).spec);
+      if (got.kind === 'found') {
+        remember(this.over, job);
+        this.fill(bindings, (got.item.value as EndedValue).spec);
+      }
       if (this.settled) this.stirBooked();
     });
   }
@@ -587,7 +625,12 @@
 
   private canStart(m: Machine): boolean {
     return (
-      m.inRoster && m.resolved && !m.returning && this.settled && this.leadership.held() !== null
+      m.inRoster &&
+      m.resolved &&
+      !m.returning &&
+      this.settled &&
+      this.rt.now - this.knownTo <= START_NEWS &&
+      this.leadership.held() !== null
     );
   }
 
@@ -733,7 +776,7 @@
   /** The cloud answered 200 to its return: the machine and all on it are gone. */
   machineGone(id: string): void {
     const m = this.machines.get(id);
-    this.remember(id);
+    remember(this.gone, id);
     if (!m) return;
     this.unbookAll(m);
     this.endAll(m, 'returned to the cloud');
@@ -744,12 +787,13 @@
   isGone(id: string): boolean {
     return this.gone.has(id);
   }
+}
 
-  private remember(id: string): void {
-    this.gone.add(id);
-    const oldest = this.gone.values().next().value;
-    if (this.gone.size > MOST_GONE && oldest !== undefined) this.gone.delete(oldest);
-  }
+/** The oldest is forgotten once there are too many. */
+function remember(ids: Set<string>, id: string): void {
+  ids.add(id);
+  const oldest = ids.values().next().value;
+  if (ids.size > MOST_GONE && oldest !== undefined) ids.delete(oldest);
 }
 
 /** Capacity of a machine by the catalog; nothing is placed on an unknown type. */
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -6,3 +6,4 @@
 export * from './state.js';
 export * from './peers.js';
 export * from './settings.js';
+export * from './cancellations.js';
--- a/packages/wire/src/workers.ts
+++ b/packages/wire/src/workers.ts
@@ -4,6 +4,7 @@
 import type { ExitReason, Order, TaskState, WorkerReport } from './domain.js';
 
 export const REPORT_PATH = '/hello';
+export const COMMANDS_PATH = '/commands';
 
 const STATES: Record<string, TaskState> = {
   pulling: 'fetching',
@@ -82,5 +83,14 @@
   return { fence: token, orders: orders.map(renderOrder) };
 }
 
+/** Orders sent to a worker directly; they do not renew its lease. */
+export function renderCommands(
+  token: number,
+  session: number,
+  orders: Order[],
+): Record<string, unknown> {
+  return { ...renderReportAnswer(token, orders), shift: session };
+}
+
 export const renderRedirect = (leader: string | null): Record<string, unknown> =>
   leader === null ? {} : { upstream: leader };
