--- a/packages/testing/src/fake-sockets.ts
+++ b/packages/testing/src/fake-sockets.ts
@@ -1,5 +1,5 @@
 import type { Settings } from '@tealdock/wire';
-import { CLOUD_SOCKETS, STATE_SOCKETS, socketShares } from '@tealdock/controller';
+import { CLOUD_SOCKETS, STATE_SOCKETS, WORKER_SOCKETS, socketShares } from '@tealdock/controller';
 import { Connections, type Closable, type Holder } from '@tealdock/adapters';
 
 /** A client's end of a connection. */
@@ -32,7 +32,7 @@
     const shares = socketShares(settings);
     this.connections = new Connections(shares, settings.reportEvery, now);
     this.room = shares.clients + shares.turnedAway;
-    this.own = STATE_SOCKETS + CLOUD_SOCKETS + settings.peers.length * 2 + 2;
+    this.own = STATE_SOCKETS + CLOUD_SOCKETS + WORKER_SOCKETS + settings.peers.length * 2 + 2;
   }
 
   tick(): void {
--- a/packages/testing/src/fake-state.ts
+++ b/packages/testing/src/fake-state.ts
@@ -10,6 +10,7 @@
   ends: number;
 }
 interface Watcher {
+  node: string;
   prefix: string;
   after: number;
   until: number;
@@ -32,6 +33,8 @@
   readonly keys = new Map<string, Entry>();
   epoch = 0;
   down = false;
+  /** Nodes that get 503 while all others are served; their open watches wait. */
+  readonly refused = new Set<string>();
   private readonly leases = new Map<number, Lease>();
   private readonly news: News[] = [];
   private watchers: Watcher[] = [];
@@ -57,16 +60,23 @@
     if (this.down) return;
     for (const [id, lease] of this.leases) if (lease.ends <= this.now()) this.endLease(id);
     for (const w of this.watchers.filter((x) => x.until <= this.now())) this.finish(w);
+    this.wake();
   }
 
-  handle(method: string, path: string, body: unknown, done: (r: CallResult) => void): void {
-    if (this.down) return done(answer(503, { error: 'trouble' }));
+  handle(
+    method: string,
+    path: string,
+    body: unknown,
+    done: (r: CallResult) => void,
+    node = '',
+  ): void {
+    if (this.down || this.refused.has(node)) return done(answer(503, { error: 'trouble' }));
     if (!this.afford(path === '/commit' ? (body as Commit).writes.length : 0)) {
       return done(answer(429, { error: 'too many requests' }));
     }
     const url = new URL(path, 'http://state');
     const query = url.searchParams;
-    if (path.startsWith('/changes')) return this.watch(query, done);
+    if (path.startsWith('/changes')) return this.watch(query, node, done);
     if (path.startsWith('/keys?')) return done(this.page(query));
     if (path.startsWith('/keys/')) return done(this.read(path.slice('/keys/'.length)));
     if (path === '/commit') return done(this.commit(body as Commit));
@@ -155,8 +165,9 @@
     this.wake();
   }
 
-  private watch(query: URLSearchParams, done: (r: CallResult) => void): void {
+  private watch(query: URLSearchParams, node: string, done: (r: CallResult) => void): void {
     const watcher = {
+      node,
       prefix: query.get('starts') ?? '',
       after: Number(query.get('after')),
       until: this.now() + Number(query.get('hold_ms') ?? 0),
@@ -174,6 +185,7 @@
   }
 
   private finish(w: Watcher): void {
+    if (this.refused.has(w.node)) return;
     this.watchers = this.watchers.filter((x) => x !== w);
     w.done(answer(200, clone({ epoch: this.epoch, news: this.eventsFor(w) })));
   }
--- a/packages/testing/src/fake-worker.ts
+++ b/packages/testing/src/fake-worker.ts
@@ -14,6 +14,12 @@
   piece: string;
   try_no: number;
 }
+/** What a controller sends to a worker's own address. */
+export interface WireCommands {
+  fence?: number;
+  shift?: number;
+  orders?: WireOrder[];
+}
 interface WireAnswer {
   fence?: number;
   orders?: WireOrder[];
@@ -46,7 +52,9 @@
   fence = 0;
   warning: number | null = null;
   gone = false;
+  /** Nothing runs and nothing is heard; commands wait, as a machine's sockets hold them. */
   hanging = false;
+  private readonly inbox: (() => void)[] = [];
   private node = 0;
   private next = 0;
   private lastSent: number;
@@ -73,13 +81,36 @@
     if (now - this.lastSent > this.host.lease) this.newSession(now);
     const elapsed = now - this.ticked;
     this.ticked = now;
-    if (this.hanging) return;
+    if (this.hanging) return this.standStill(elapsed);
+    for (const execute of this.inbox.splice(0)) execute();
     this.fetch(elapsed / 1000);
     this.finishTasks(now);
     if (this.flight && now - this.flight.sent > ANSWER_TIMEOUT) this.elsewhere();
     if (!this.flight && now >= this.next) this.report(now);
   }
 
+  private standStill(elapsed: number): void {
+    for (const t of this.tasks) if (t.status === 'running') t.ends += elapsed;
+  }
+
+  /** `POST /commands`; a machine that hangs carries it out when it goes on. */
+  commands(body: WireCommands, done: (r: CallResult) => void): void {
+    this.inbox.push(() => done(this.carryOut(body)));
+  }
+
+  private carryOut({ fence, shift, orders }: WireCommands): CallResult {
+    if (fence === undefined || shift === undefined) return this.reportAs(400);
+    if (fence < this.fence || shift !== this.shift) return this.reportAs(409);
+    this.fence = fence;
+    for (const order of orders ?? []) this.execute(order);
+    if (this.changed) this.soon();
+    return this.reportAs(200);
+  }
+
+  private reportAs(status: number): CallResult {
+    return { kind: 'answer', status, body: this.body() };
+  }
+
   private finishTasks(now: number): void {
     for (const t of this.tasks) {
       if (t.status !== 'running' || t.ends > now) continue;
--- a/packages/testing/src/rule-checker.ts
+++ b/packages/testing/src/rule-checker.ts
@@ -1,7 +1,32 @@
 import type { JobSpec } from '@tealdock/wire';
 
+/** No question about a job is answered for this long: it is forgotten. */
+const UNANSWERED = 75_000;
+/** A job waits for this long although a machine that fits has room. */
+const LEFT_WAITING = 90_000;
+/** The largest jobs begin within this time. */
+const LARGEST_BEGIN = 240_000;
+/** The largest of a class are this part of it, and one at the least. */
+const LARGEST_PART = 0.25;
+const SERVED_PART = 0.5;
+
+/** What is free on a machine. */
+export interface MachineRoom {
+  type: string;
+  zone: string;
+  spot: boolean;
+  cpus: number;
+  memoryGb: number;
+}
+
 interface Seen {
   spec: JobSpec;
+  submitted: number;
+  begun: number | null;
+  /** First question since the last answer. */
+  unanswered: number | null;
+  /** Since when there has been room for it without a break. */
+  leftWaiting: number | null;
   accepted: boolean;
   final: string | null;
   cancelTold: number | null;
@@ -15,6 +40,11 @@
 export class RuleChecker {
   readonly broken: string[] = [];
   starts = 0;
+  /** Starts after a confirmed cancellation: the start may have been on its way. */
+  startsAfterCancel = 0;
+  /** Since when all troubles are over. */
+  private calmSince: number | null = null;
+  private readonly wrong = new Set<string>();
   private readonly jobs = new Map<string, Seen>();
   private readonly most = new Map<string, number>();
   private readonly running = new Map<string, Set<string>>();
@@ -29,6 +59,10 @@
     if (this.jobs.has(spec.id)) return;
     this.jobs.set(spec.id, {
       spec,
+      submitted: this.now(),
+      begun: null,
+      unanswered: null,
+      leftWaiting: null,
       accepted: false,
       final: null,
       cancelTold: null,
@@ -36,6 +70,21 @@
     });
   }
 
+  /** A submission under this id can't run or lacks a field. */
+  mustRefuse(id: string): void {
+    if (!this.jobs.has(id)) this.wrong.add(id);
+  }
+
+  calm(): void {
+    this.calmSince = this.now();
+  }
+
+  /** A question about a job was put to some node. */
+  asked(id: string): void {
+    const job = this.jobs.get(id);
+    if (job) job.unanswered ??= this.now();
+  }
+
   /** An answer to a submission, a poll or a cancellation, and what was known when it was asked. */
   told(
     id: string,
@@ -46,7 +95,8 @@
   ): void {
     const job = this.jobs.get(id);
     if (!job) {
-      if (status === 200) this.break('invented', id);
+      if (this.wrong.has(id) && (status === 200 || status === 201)) this.break('accepted', id);
+      else if (status === 200) this.break('invented', id);
       return;
     }
     if (askedAfterAccept && (status === 404 || status === 400 || status === 422)) {
@@ -54,6 +104,7 @@
     }
     if (status !== 200 && status !== 201) return;
     job.accepted = true;
+    job.unanswered = null;
     if (state === undefined) return;
     if (finalWhenAsked !== null && finalWhenAsked !== state) {
       this.break('went_back', `${id} to ${state}`);
@@ -92,6 +143,9 @@
     if ([...on].some((m) => m !== machine)) this.break('ran_twice', task);
     on.add(machine);
     this.running.set(task, on);
+    const job = this.jobOf(task);
+    if (job) job.begun ??= this.now();
+    if (job && job.cancelTold !== null) this.startsAfterCancel++;
     this.checkCancelled(task);
     this.checkQuota();
   }
@@ -105,6 +159,75 @@
 
   check(): void {
     for (const [task, on] of this.running) if (on.size > 0) this.checkCancelled(task);
+    if (this.calmSince === null) return;
+    for (const [id, job] of this.jobs) {
+      const since = Math.max(job.unanswered ?? Infinity, this.calmSince);
+      if (!job.accepted || this.now() - since <= UNANSWERED) continue;
+      this.break('forgotten', `${id}: no answer`);
+      job.unanswered = null;
+    }
+  }
+
+  /** With all troubles over, no job waits where a machine that fits has had room all along. */
+  checkRooms(rooms: MachineRoom[]): void {
+    if (this.calmSince === null) return;
+    const onMachines = this.countRunning();
+    for (const [id, job] of this.jobs) {
+      if (!this.couldRun(job, onMachines.get(id) ?? 0, rooms)) job.leftWaiting = null;
+      else job.leftWaiting ??= this.now();
+      if (job.leftWaiting === null || this.now() - job.leftWaiting <= LEFT_WAITING) continue;
+      this.break('left_waiting', id);
+      job.leftWaiting = null;
+    }
+  }
+
+  /** What of a day falls short: classes, teams and largest jobs of which less than half is done. */
+  unserved(): string[] {
+    const wanted = [...this.jobs.values()].filter((j) => j.accepted && j.final !== 'aborted');
+    const faults: string[] = [];
+    const check = (name: string, jobs: Seen[]) => {
+      const done = jobs.filter((j) => j.doneTasks.size === j.spec.taskCount).length;
+      if (done < jobs.length * SERVED_PART) faults.push(`${name}: ${done} of ${jobs.length} done`);
+    };
+    for (const [team, jobs] of groupBy(wanted, (j) => j.spec.team)) check(`team ${team}`, jobs);
+    for (const [name, jobs] of groupBy(wanted, (j) => j.spec.jobClass)) {
+      check(`class ${name}`, jobs);
+      const bySize = [...jobs].sort((a, b) => b.spec.taskCount - a.spec.taskCount);
+      const largest = bySize.slice(0, Math.max(1, Math.floor(jobs.length * LARGEST_PART)));
+      check(`largest of ${name}`, largest);
+      for (const j of largest) {
+        const waited = (j.begun ?? this.now()) - j.submitted;
+        if (waited > LARGEST_BEGIN) faults.push(`${j.spec.id} began after ${waited} ms`);
+      }
+    }
+    return faults;
+  }
+
+  private countRunning(): Map<string, number> {
+    const counts = new Map<string, number>();
+    for (const task of this.running.keys()) {
+      const id = task.split('/')[0]!;
+      counts.set(id, (counts.get(id) ?? 0) + 1);
+    }
+    return counts;
+  }
+
+  private couldRun(job: Seen, running: number, rooms: MachineRoom[]): boolean {
+    const { spec } = job;
+    const waiting = spec.taskCount - job.doneTasks.size - running;
+    if (!job.accepted || job.final !== null || waiting <= 0) return false;
+    // Where its tasks may be depends on each other: a room says nothing by itself.
+    if (spec.kind !== 'array' || spec.oneZone || spec.spread) return false;
+    const left = (this.cpuLimits.get(spec.team) ?? 0) - (this.teamUse().get(spec.team) ?? 0);
+    if (left < spec.cpus) return false;
+    return rooms.some(
+      (r) =>
+        r.cpus >= spec.cpus &&
+        r.memoryGb >= spec.memoryGb &&
+        (spec.types?.includes(r.type) ?? true) &&
+        (spec.zone ?? r.zone) === r.zone &&
+        (spec.spot || !r.spot),
+    );
   }
 
   private jobOf(task: string): Seen | undefined {
@@ -116,12 +239,17 @@
     if (told !== null && this.now() - told > this.cancelWithin) this.break('ran_cancelled', task);
   }
 
-  private checkQuota(): void {
+  private teamUse(): Map<string, number> {
     const used = new Map<string, number>();
     for (const [task, on] of this.running) {
       const spec = this.jobOf(task)?.spec;
       if (spec) used.set(spec.team, (used.get(spec.team) ?? 0) + spec.cpus * on.size);
     }
+    return used;
+  }
+
+  private checkQuota(): void {
+    const used = this.teamUse();
     for (const [team, cpus] of used) {
       this.most.set(team, Math.max(this.most.get(team) ?? 0, cpus));
       if (cpus > (this.cpuLimits.get(team) ?? 0)) this.break('quota', `${team} ${cpus}`);
@@ -132,3 +260,13 @@
     this.broken.push(`${rule}: ${what} at ${Math.round(this.now())}`);
   }
 }
+
+function groupBy<T>(items: T[], key: (item: T) => string): Map<string, T[]> {
+  const groups = new Map<string, T[]>();
+  for (const item of items) {
+    const group = groups.get(key(item)) ?? [];
+    group.push(item);
+    groups.set(key(item), group);
+  }
+  return groups;
+}
--- a/packages/testing/src/world.ts
+++ b/packages/testing/src/world.ts
@@ -19,15 +19,18 @@
   type Reply,
 } from '@tealdock/controller';
 import { CallGates, CommandQueue } from '@tealdock/adapters';
-import { FakeCloud } from './fake-cloud.js';
+import { FakeCloud, TYPE } from './fake-cloud.js';
 import { FakeSockets } from './fake-sockets.js';
 import { FakeState } from './fake-state.js';
-import { FakeWorker, type WorkerHost } from './fake-worker.js';
-import { RuleChecker } from './rule-checker.js';
+import { FakeWorker, type WireCommands, type WorkerHost } from './fake-worker.js';
+import { RuleChecker, type MachineRoom } from './rule-checker.js';
 
 const STEP = 50;
 const HALF_TRIP = 5;
-const LATE = 9000;
+/** Within what a transaction without an answer is carried out late. */
+const LATE = { least: 2000, most: 12_000 };
+/** Rooms and questions are looked at this often. */
+const LOOK_EVERY = 1000;
 const TODAY = Date.UTC(2026, 0, 1);
 export const NODES = ['n-0', 'n-1', 'n-2'];
 
@@ -43,6 +46,8 @@
   /** Changes that one transaction may hold. */
   txnOps?: number;
   runTime?: number;
+  /** Run times of single tasks, in place of `runTime`. */
+  runTimeOf?: (piece: string) => number | undefined;
   /** A task that fails wherever it runs, or on one machine. */
   fails?: (piece: string, machine: string) => boolean;
   /** GB a second of a machine's image fetches, and whether those at the same time share it. */
@@ -51,6 +56,15 @@
   limits?: { sockets: number; rps: number; writeRps: number };
   /** What the controllers take for the workers' lease; a wrong one breaks a guard on purpose. */
   believedLease?: number;
+  terms?: Terms;
+}
+
+/** Times of a deployment, in ms. */
+export interface Terms {
+  reportEvery: number;
+  lease: number;
+  cancelWithin: number;
+  leaderLease: number;
 }
 
 interface Node {
@@ -72,10 +86,19 @@
   run: () => void;
 }
 
-const WORKER_LEASE = 20_000;
-const CANCEL_WITHIN = 45_000;
-
-export function settingsFor(member: string, cpuLimit: number, guarantee = 0): Settings {
+const USUAL: Terms = {
+  reportEvery: 3000,
+  lease: 20_000,
+  cancelWithin: 45_000,
+  leaderLease: 10_000,
+};
+
+export function settingsFor(
+  member: string,
+  cpuLimit: number,
+  guarantee = 0,
+  terms = USUAL,
+): Settings {
   const peers = NODES.filter((n) => n !== member).map((n) => ({ member: n, addr: `${n}:1` }));
   return {
     member,
@@ -95,9 +118,9 @@
       gpusMax: Infinity,
     })),
     objectives: [],
-    reportEvery: 3000,
-    workerLease: WORKER_LEASE,
-    cancelWithin: CANCEL_WITHIN,
+    reportEvery: terms.reportEvery,
+    workerLease: terms.lease,
+    cancelWithin: terms.cancelWithin,
     state: { rps: 100, writeRps: 100, valueBytes: 4096, txnOps: 8 },
     cloud: { rps: 6, listLag: 1000 },
     maxConnections: 4000,
@@ -107,8 +130,9 @@
 /** Everything in memory and in simulated time: nodes, workers, state, cloud, network. */
 export class World implements WorkerHost {
   readonly nodes = NODES;
-  readonly reportEvery = 3000;
-  readonly lease = WORKER_LEASE;
+  readonly terms: Terms;
+  readonly reportEvery: number;
+  readonly lease: number;
   readonly state: FakeState;
   readonly cloud: FakeCloud;
   readonly checker: RuleChecker;
@@ -121,14 +145,25 @@
   /** What a state call of a node comes to instead; undefined leaves it alone. */
   stateFault: ((node: string, call: Call) => StateFault | undefined) | null = null;
   readonly jobs = new Map<string, JobSpec>();
+  /** By how much longer an answer of the state service takes. */
+  stateDelay: (() => number) | null = null;
   /** After what time a copy of a report arrives once more, if at all; nobody gets its answer. */
   copyDelay: (() => number | null) | null = null;
+  /** Where such a copy arrives, if not where the report went. */
+  copyTo: (() => string | null) | null = null;
+  /** What the way between a worker and a node takes beyond the usual. */
+  linkDelay = 0;
+  /** Direct commands that reached a machine. */
+  commands = 0;
   private clock = 0;
   private events: Event[] = [];
   private order = 0;
   private lives = 0;
 
   constructor(readonly options: WorldOptions = {}) {
+    this.terms = options.terms ?? USUAL;
+    this.reportEvery = this.terms.reportEvery;
+    this.lease = this.terms.lease;
     const generator = xoroshiro128plus(options.seed ?? 1);
     this.random = () => uniformFloat64(generator);
     this.state = new FakeState(() => this.clock, options.limits);
@@ -142,7 +177,7 @@
       ['team', limit],
       ['other', limit],
     ]);
-    this.checker = new RuleChecker(() => this.clock, limits, CANCEL_WITHIN);
+    this.checker = new RuleChecker(() => this.clock, limits, this.terms.cancelWithin);
     for (const name of NODES) this.boot(name);
   }
 
@@ -165,6 +200,7 @@
         this.turn(node);
       }
       this.checker.check();
+      if (this.clock % LOOK_EVERY === 0) this.checker.checkRooms(this.rooms());
     }
   }
 
@@ -188,13 +224,16 @@
   // --- nodes -----------------------------------------------------------------
 
   boot(name: string): void {
-    const settings = settingsFor(name, this.options.cpuLimit ?? 100, this.options.guarantee);
-    settings.workerLease = this.options.believedLease ?? WORKER_LEASE;
+    const { cpuLimit, guarantee, believedLease } = this.options;
+    const settings = settingsFor(name, cpuLimit ?? 100, guarantee, this.terms);
+    settings.workerLease = believedLease ?? this.terms.lease;
     settings.state.txnOps = this.options.txnOps ?? settings.state.txnOps;
     const { limits } = this.options;
     settings.maxConnections = limits?.sockets ?? settings.maxConnections;
     if (limits) settings.state = { ...settings.state, ...limits };
-    const operator = parseOperatorSettings('[leadership]\nlease_s = 10\n');
+    const operator = parseOperatorSettings(
+      `[leadership]\nlease_s = ${this.terms.leaderLease / 1000}\n`,
+    );
     const log = (_level: string, fields: Record<string, unknown>, message: string) =>
       void this.log.push({ node: name, message, fields });
     const controller = new Controller({
@@ -309,16 +348,32 @@
   private call(from: string, call: Call, done: (result: CallResult) => void): void {
     const lost = () => this.at(call.timeout, () => done({ kind: 'lost' }));
     if (call.target === 'peer') return this.relay(from, call, done);
+    if (call.target === 'worker') return this.command(from, call, done);
     if (this.cut(from, call.target)) return lost();
     if (call.target === 'cloud') return done(this.cloud.handle(call.path, call.body));
     const fault = this.stateFault?.(from, call);
     if (fault === 'lost_before') return lost();
+    const ask = (answer: (result: CallResult) => void) =>
+      this.state.handle(call.method, call.path, call.body, answer, from);
     if (fault === 'late') {
-      this.at(LATE, () => this.state.handle(call.method, call.path, call.body, () => undefined));
+      const delay = LATE.least + this.random() * (LATE.most - LATE.least);
+      this.at(delay, () => ask(() => undefined));
       return lost();
     }
-    const answer = fault === 'lost_after' ? lost : done;
-    this.state.handle(call.method, call.path, call.body, answer);
+    if (fault === 'lost_after') return ask(lost);
+    const slow = this.stateDelay?.() ?? 0;
+    if (slow >= call.timeout) return ask(lost);
+    ask(slow > 0 ? (result) => this.at(slow, () => done(result)) : done);
+  }
+
+  /** To a worker's own address: held up where the machine hangs, lost where it is cut off. */
+  private command(from: string, call: Call, done: (result: CallResult) => void): void {
+    const lost = () => this.at(call.timeout, () => done({ kind: 'lost' }));
+    const id = call.to.split(':')[0]!;
+    const worker = this.workers.get(id);
+    if (!worker || this.cut(from, id)) return lost();
+    this.commands++;
+    worker.commands(call.body as WireCommands, done);
   }
 
   private relay(from: string, call: Call, done: (result: CallResult) => void): void {
@@ -353,11 +408,16 @@
     const delay = this.copyDelay?.() ?? null;
     if (delay !== null) {
       const copy = packBody(body);
-      this.at(delay, () => this.ask(node, 'public', 'POST', '/hello', copy, () => undefined));
+      this.at(delay, () => {
+        const to = this.copyTo?.() ?? node;
+        this.ask(to, 'public', 'POST', '/hello', copy, () => undefined);
+      });
     }
     const answer = (reply: Reply) =>
-      this.at(HALF_TRIP, () => done({ kind: 'answer', status: reply.status, body: reply.body }));
-    this.at(HALF_TRIP, () => {
+      this.at(HALF_TRIP + this.linkDelay, () =>
+        done({ kind: 'answer', status: reply.status, body: reply.body }),
+      );
+    this.at(HALF_TRIP + this.linkDelay, () => {
       const line = this.alive.get(node)?.sockets.ask(id, 'worker');
       if (line === 'turned away') return answer({ status: 503, body: {} });
       this.ask(node, 'public', 'POST', '/hello', packBody(body), (reply) => {
@@ -387,6 +447,48 @@
     for (const n of NODES) this.cuts.add(`${n}>${machine}`);
   }
 
+  /** A machine reaches no controller, while direct commands reach it. */
+  mute(machine: string): void {
+    for (const n of NODES) this.cuts.add(`${machine}>${n}`);
+  }
+
+  /** Cuts of one kind end, others stay. */
+  unmute(machine: string): void {
+    for (const n of NODES) this.cuts.delete(`${machine}>${n}`);
+  }
+
+  /** All troubles are over: from now on nothing excuses a job that waits or is not known. */
+  calm(): void {
+    this.cuts.clear();
+    this.state.refused.clear();
+    this.stateFault = this.stateDelay = this.copyDelay = this.copyTo = null;
+    this.linkDelay = 0;
+    if (this.state.down) this.state.restore();
+    for (const worker of this.workers.values()) worker.hanging = false;
+    for (const name of NODES) {
+      if (!this.alive.has(name)) this.boot(name);
+      this.hang(name, false);
+    }
+    this.checker.calm();
+  }
+
+  /** What is free on each machine that works, by what is on it. */
+  private rooms(): MachineRoom[] {
+    const rooms: MachineRoom[] = [];
+    for (const { machine, tasks, hanging, warning } of this.workers.values()) {
+      if (hanging || warning !== null) continue;
+      let cpus = TYPE.cpus;
+      let memoryGb = TYPE.mem_gb;
+      for (const t of tasks) {
+        const spec = t.status === 'exited' ? undefined : this.jobs.get(t.piece.split('/')[0]!);
+        cpus -= spec?.cpus ?? 0;
+        memoryGb -= spec?.memoryGb ?? 0;
+      }
+      rooms.push({ type: machine.type, zone: machine.zone, spot: machine.spot, cpus, memoryGb });
+    }
+    return rooms;
+  }
+
   /** A connection from one node to another is refused. */
   refuse(from: string, to: string): void {
     const node = this.alive.get(from);
@@ -410,7 +512,8 @@
 
   runTime(piece: string): number | null {
     const spec = this.jobs.get(piece.split('/')[0]!);
-    return spec ? (this.options.runTime ?? spec.estimate) : null;
+    const own = this.options.runTimeOf?.(piece);
+    return spec ? (own ?? this.options.runTime ?? spec.estimate) : null;
   }
 
   imageOf(piece: string): { name: string; gb: number; gbPerS: number; shared: boolean } | null {
@@ -456,6 +559,13 @@
     this.userAsk(node, 'POST', '/api/jobs', job, spec.id, done);
   }
 
+  /** A submission that must be refused: it fits no machine or lacks a field. */
+  submitWrong(job: Record<string, unknown>, node: string, done?: (r: Reply | null) => void): void {
+    const id = String(job['ref']);
+    this.checker.mustRefuse(id);
+    this.userAsk(node, 'POST', '/api/jobs', job, id, done);
+  }
+
   poll(id: string, node: string, done?: (reply: Reply | null) => void): void {
     this.userAsk(node, 'GET', `/api/jobs/${id}`, null, id, done);
   }
@@ -481,6 +591,7 @@
     done?: (reply: Reply | null) => void,
   ): void {
     const [known, final] = [this.checker.accepted(id), this.checker.final(id)];
+    this.checker.asked(id);
     const line = this.alive.get(node)?.sockets.ask(`user of ${id}`, 'user');
     if (line === 'turned away') return done?.({ status: 503, body: {}, retryAfter: 1000 });
     this.ask(node, 'public', method, path, packBody(body), (reply) => {
