--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -276,6 +276,8 @@
       return this.malformed(request, error);
     }
     this.leadership.outranked(report.token);
+    // Also while it may not answer: a leader that an outage silenced is not deaf.
+    if (this.term) this.term.lastReport = this.rt.now;
     const held = this.entitled();
     if (!held || !this.term) return this.redirect(request, report);
     const { counted, answered, orders } = this.term.report(report);
--- a/packages/controller/src/term.ts
+++ b/packages/controller/src/term.ts
@@ -325,7 +325,6 @@
 
   /** Takes in a report; its answer may carry the orders. */
   report(report: WorkerReport): Taken {
-    this.lastReport = this.rt.now;
     if (this.gone.has(report.machine)) return IGNORED;
     const m = this.machineOf(report);
     if (this.deafToTerm(m, report)) return UNANSWERED;
--- a/packages/testing/src/faults.test.ts
+++ b/packages/testing/src/faults.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import { World, job, type WorldOptions } from './index.js';
 
-const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
+const SEEDS = Array.from({ length: 20 }, (_, i) => i + 1);
 const JOBS = 12;
 const TROUBLED = 120_000;
 const FAULT_EVERY = 4000;
@@ -14,7 +14,7 @@
   const name = pick(world, world.nodes)!;
   if (!world.alive.has(name)) return;
   world.crash(name);
-  world.at(200 + world.random() * 8000, () => world.boot(name));
+  world.at(200 + world.random() * 8000, () => world.alive.has(name) || world.boot(name));
 }
 
 function hang(world: World): void {
@@ -87,10 +87,70 @@
   const name = pick(world, world.nodes)!;
   if (!world.alive.has(name)) return;
   world.crash(name);
-  world.at(50 + world.random() * 500, () => world.boot(name));
+  world.at(50 + world.random() * 500, () => world.alive.has(name) || world.boot(name));
+}
+
+/** Transactions get no answer and are carried out after newer ones. */
+function lateWrites(world: World): void {
+  world.stateFault = (_node, call) =>
+    call.writes > 0 && world.random() < 0.3 ? 'late' : undefined;
+  world.at(world.random() * 15_000, () => (world.stateFault = null));
+}
+
+function slow(world: World): void {
+  world.stateDelay = () => (world.random() < 0.5 ? world.random() * 1500 : 0);
+  world.at(world.random() * 15_000, () => (world.stateDelay = null));
+}
+
+function mute(world: World): void {
+  const id = pick(world, [...world.workers.keys()]);
+  if (!id) return;
+  world.mute(id);
+  world.at(world.random() * 40_000, () => world.unmute(id));
+}
+
+/** The state service refuses one node, perhaps the leader, and soon perhaps everybody. */
+function refuse(world: World): void {
+  const name = (world.random() < 0.7 ? world.leader() : null) ?? pick(world, world.nodes)!;
+  world.state.refused.add(name);
+  world.at(5000 + world.random() * 15_000, () => world.state.refused.delete(name));
+  if (world.random() < 0.5) world.at(500 + world.random() * 3000, () => outage(world));
+}
+
+/** Users call off what runs, and its machines hang. */
+function cancelNow(world: World): void {
+  const here = [...world.workers.values()].filter((w) => w.tasks.length > 0);
+  const worker = pick(world, here);
+  const piece = worker?.tasks.find((t) => t.status === 'running')?.piece;
+  const node = pick(world, [...world.alive.keys()]);
+  if (!worker || !piece || !node) return;
+  const id = piece.split('/')[0]!;
+  if (world.checker.accepted(id)) world.cancel(id, node);
+  worker.hanging = true;
+  world.at(world.random() * 30_000, () => (worker.hanging = false));
+}
+
+function changeLeaders(world: World): void {
+  for (let i = 0; i < 5; i++) {
+    world.at(i * 6000, () => {
+      const leader = world.leader();
+      if (!leader || !world.alive.has(leader)) return;
+      world.crash(leader);
+      world.at(300 + world.random() * 5000, () => world.alive.has(leader) || world.boot(leader));
+    });
+  }
 }
 
 const FAULTS = [
+  lateWrites,
+  slow,
+  mute,
+  mute,
+  refuse,
+  refuse,
+  cancelNow,
+  cancelNow,
+  changeLeaders,
   crash,
   crash,
   hang,
@@ -144,7 +204,7 @@
   }
   world.run(TROUBLED);
   world.run(30_000);
-  world.cuts.clear();
+  world.calm();
   const name = (i: number) => `run-${String(i).padStart(6, '0')}`;
   const open = () => ids.map(name).filter((id) => world.checker.final(id) === null);
   world.runUntil(() => open().length === 0, 400_000);
@@ -157,6 +217,7 @@
     assert.deepEqual(world.checker.broken, []);
     assert.deepEqual(open, []);
     assert.ok(world.checker.starts > 0);
+    assert.deepEqual(world.checker.unserved(), []);
   });
 }
 
--- a/packages/testing/src/meetings.test.ts
+++ b/packages/testing/src/meetings.test.ts
@@ -104,8 +104,9 @@
     // Renewals are answered, while all that tells of jobs is not.
     world.stateFault = (node, call) =>
       node === leader && !call.path.startsWith('/grants') ? 'lost_before' : undefined;
+    world.run(3000);
     world.cancel(A, others(world)[0]!);
-    world.run(2000);
+    world.run(500);
     for (let i = 0; i < 4; i++) {
       world.state.down = true;
       world.run(18_000);
@@ -127,6 +128,38 @@
   }
 });
 
+// Nothing tells the leader of jobs any more, while its lease is renewed.
+meeting('no start leaves on old news', (terms) => {
+  const world = start(terms, { runTime: 12_000 }, 1);
+  world.submit(job(1, { batch: 4 }), 'n-0');
+  assert.ok(world.runUntil(() => running(world) === 4, 40_000));
+  world.submit(job(2, { batch: 4 }), 'n-0');
+  const leader = world.leader()!;
+  world.run(8000);
+  for (const n of world.nodes) world.cuts.add(`${n}>${leader}`);
+  world.stateFault = (node, call) =>
+    node === leader && call.path.startsWith('/changes') ? 'lost_before' : undefined;
+  world.run(2500);
+  cancelled(world, 2, others(world)[0]!);
+  assert.equal(running(world), 0, 'there is room');
+  assert.equal(world.checker.startsAfterCancel, 0);
+  endsWell(world, [1, 2]);
+});
+
+meeting('a leader that an outage silenced is not deaf and goes on', (terms) => {
+  const world = busy(terms, 2, 4);
+  const leader = world.leader()!;
+  world.run(10_000);
+  world.state.down = true;
+  world.run(terms.leaderLease + 8000);
+  world.state.restore();
+  world.run(4000);
+  assert.equal(world.leader(), leader);
+  assert.ok(!world.log.some((l) => l.message === 'resigning leadership'));
+  assert.equal(running(world), 8);
+  endsWell(world, [1, 2]);
+});
+
 meeting('gap: a start that waits in a held answer is not sent for a cancelled job', (terms) => {
   const world = start(terms, {}, 1);
   world.submit(job(1, { batch: 4, expected_s: 150 }), 'n-0');
@@ -349,12 +382,14 @@
   for (const w of silent) world.cuts.add(w.machine.id);
   const old = world.leader()!;
   world.crash(old);
-  world.run(terms.leaderLease + 2500);
+  world.run(terms.leaderLease + 1500);
   world.cancel(A, [...world.alive.keys()][0]!);
+  // Newer than the term, so it need not wait for the machines that can't be asked.
+  world.submit(job(5, { batch: 6, expected_s: 20 }), [...world.alive.keys()][0]!);
   world.run(12_000);
   world.boot(old);
   world.run(terms.lease + 10_000);
-  endsWell(world, [1, 2, 3, 4]);
+  endsWell(world, [1, 2, 3, 4, 5]);
   assert.ok(world.checker.mostUsed('team') >= 8, 'the limit was reached');
 });
 
--- /dev/null
+++ b/packages/testing/src/rule-checker.test.ts
@@ -0,0 +1,168 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { parseSubmission } from '@tealdock/wire';
+import { RuleChecker, World, job, type MachineRoom } from './index.js';
+import { A, settled, running, status, ask } from './story.js';
+
+// Each check is shown a fault and must notice it, and nothing else.
+const ROOM: MachineRoom = { type: 'small', zone: 'a', spot: false, cpus: 4, memoryGb: 16 };
+
+class Watch {
+  time = 0;
+  readonly checker = new RuleChecker(() => this.time, new Map([['team', 4]]), 45_000);
+
+  accept(number: number, over: Record<string, unknown> = {}): string {
+    const spec = parseSubmission(job(number, over));
+    this.checker.submitted(spec);
+    this.checker.asked(spec.id);
+    this.checker.told(spec.id, 201, 'queued', false, null);
+    return spec.id;
+  }
+
+  pass(duration: number, rooms: MachineRoom[] = []): void {
+    for (const end = this.time + duration; this.time < end; this.time += 1000) {
+      this.checker.check();
+      this.checker.checkRooms(rooms);
+    }
+  }
+
+  finish(task: string): void {
+    this.checker.started(task, 'm-1');
+    this.checker.ended(task, 'm-1', 'done');
+  }
+
+  rules(): string[] {
+    return this.checker.broken.map((b) => b.split(':')[0]!);
+  }
+}
+
+test('a job about which no question is answered for 75 s after all troubles is forgotten', () => {
+  const watch = new Watch();
+  const id = watch.accept(1);
+  watch.pass(100_000);
+  watch.checker.asked(id);
+  watch.pass(100_000);
+  assert.deepEqual(watch.rules(), [], 'troubles excuse it');
+  watch.checker.calm();
+  watch.pass(70_000);
+  assert.deepEqual(watch.rules(), []);
+  watch.pass(10_000);
+  assert.deepEqual(watch.rules(), ['forgotten']);
+});
+
+test('an answer in between is an answer', () => {
+  const watch = new Watch();
+  const id = watch.accept(1);
+  watch.checker.calm();
+  for (let i = 0; i < 5; i++) {
+    watch.checker.asked(id);
+    watch.pass(50_000);
+    watch.checker.told(id, 200, 'queued', true, null);
+  }
+  assert.deepEqual(watch.rules(), []);
+});
+
+test('starts after a confirmed cancellation are counted', () => {
+  const watch = new Watch();
+  const id = watch.accept(1);
+  watch.checker.started(`${id}/0`, 'm-1');
+  watch.checker.told(id, 200, 'aborted', true, null);
+  assert.equal(watch.checker.startsAfterCancel, 0);
+  watch.checker.started(`${id}/1`, 'm-2');
+  assert.equal(watch.checker.startsAfterCancel, 1);
+});
+
+test('a job that must be refused and is accepted', () => {
+  const watch = new Watch();
+  watch.checker.mustRefuse('run-000009');
+  watch.checker.told('run-000009', 422, undefined, false, null);
+  assert.deepEqual(watch.rules(), []);
+  watch.checker.told('run-000009', 201, 'queued', false, null);
+  assert.deepEqual(watch.rules(), ['accepted']);
+});
+
+test('a job that is left waiting beside room that fits', () => {
+  const watch = new Watch();
+  watch.accept(1, { hall: 'b' });
+  watch.checker.calm();
+  watch.pass(200_000, [ROOM]);
+  assert.deepEqual(watch.rules(), [], 'the room is in another zone');
+  watch.pass(80_000, [{ ...ROOM, zone: 'b' }]);
+  watch.pass(1000, []);
+  watch.pass(80_000, [{ ...ROOM, zone: 'b' }]);
+  assert.deepEqual(watch.rules(), [], 'the room was gone in between');
+  watch.pass(20_000, [{ ...ROOM, zone: 'b' }]);
+  assert.deepEqual(watch.rules(), ['left_waiting']);
+});
+
+test('a job whose team is at its limit may wait', () => {
+  const watch = new Watch();
+  const [first] = [watch.accept(1, { batch: 4 }), watch.accept(2)];
+  for (let i = 0; i < 4; i++) watch.checker.started(`${first}/${i}`, 'm-1');
+  watch.checker.calm();
+  watch.pass(200_000, [ROOM]);
+  assert.deepEqual(watch.rules(), []);
+  watch.checker.ended(`${first}/0`, 'm-1', 'done');
+  watch.pass(100_000, [ROOM]);
+  assert.deepEqual(watch.rules(), ['left_waiting']);
+});
+
+test('less than half of a class, a team or the largest jobs served', () => {
+  const watch = new Watch();
+  const small = [1, 2, 3].map((n) => watch.accept(n, { batch: 1, jobclass: 'calm' }));
+  const [large, rest] = [watch.accept(4, { batch: 3, jobclass: 'calm' }), watch.accept(5)];
+  for (const id of small) watch.finish(`${id}/0`);
+  const faults = () => watch.checker.unserved().map((f) => f.split(':')[0]);
+  assert.deepEqual(faults(), ['largest of calm', 'class plain', 'largest of plain']);
+  for (let i = 0; i < 3; i++) watch.finish(`${large}/${i}`);
+  assert.deepEqual(faults(), ['class plain', 'largest of plain']);
+  watch.checker.told(rest, 200, 'aborted', true, null);
+  assert.deepEqual(faults(), []);
+  for (const n of [6, 7, 8, 9, 10]) watch.accept(n, { jobclass: 'calm' });
+  assert.deepEqual(faults()[0], 'team team');
+});
+
+test('a largest job that begins after four minutes', () => {
+  const watch = new Watch();
+  const id = watch.accept(1, { batch: 1 });
+  watch.time += 250_000;
+  watch.finish(`${id}/0`);
+  assert.deepEqual(watch.checker.unserved(), [`${id} began after 250000 ms`]);
+});
+
+// The machine keeps its lease for longer than it says, so it goes on with what was called off.
+test('a cancelled task that goes on after its machine hung', () => {
+  const terms = { reportEvery: 3000, lease: 90_000, cancelWithin: 45_000, leaderLease: 5000 };
+  const world = settled({ terms, believedLease: 20_000 });
+  world.submit(job(1, { batch: 4, expected_s: 500 }), 'n-0');
+  assert.ok(world.runUntil(() => running(world) === 4, 20_000));
+  for (const w of world.workers.values()) w.hanging = true;
+  assert.equal(status(ask(world, (d) => world.cancel(A, 'n-1', d))), 'aborted');
+  world.run(30_000);
+  assert.equal(world.checker.broken.length, 0);
+  world.run(20_000);
+  for (const w of world.workers.values()) w.hanging = false;
+  world.run(1000);
+  assert.ok(world.checker.broken.some((b) => b.startsWith('ran_cancelled')));
+});
+
+test('odd requests are answered as the protocol says, and change nothing', () => {
+  const world: World = settled();
+  world.submit(job(1, { batch: 4, expected_s: 60 }), 'n-0');
+  assert.ok(world.runUntil(() => running(world) === 4, 20_000));
+  world.run(4000);
+  const again = ask(world, (d) => world.submit(job(1, { batch: 4 }), 'n-1', d));
+  assert.deepEqual([again?.status, status(again)], [200, 'running']);
+  const lacking = job(1, { owner: undefined });
+  const known = ask(world, (d) => world.submitWrong(lacking, 'n-2', d));
+  assert.equal(known?.status, 200, 'a known job is known whatever the body says now');
+  const lacks = ask(world, (d) => world.submitWrong({ ...lacking, ref: 'run-000002' }, 'n-0', d));
+  assert.equal(lacks?.status, 400);
+  const large = ask(world, (d) => world.submitWrong(job(3, { mem_gb: 5000 }), 'n-1', d));
+  assert.equal(large?.status, 422);
+  const done = () => world.checker.doneTasks(A).size === 4;
+  assert.ok(world.runUntil(done, 90_000));
+  world.run(3000);
+  assert.equal(status(ask(world, (d) => world.cancel(A, 'n-2', d))), 'done');
+  assert.deepEqual(world.checker.broken, []);
+});
