--- a/packages/controller/src/completer.ts
+++ b/packages/controller/src/completer.ts
@@ -1,5 +1,6 @@
 import type { Guard, Write } from '@tealdock/wire';
-import { endedKey, progressEntry, specKey, type EndedValue } from './keys.js';
+import type { JobEnd } from './job-graph.js';
+import { endedKey, endedValue, progressEntry, specKey, type EndedValue } from './keys.js';
 import type { Leadership } from './leadership.js';
 import type { LiveJob } from './live-job.js';
 import { PRIORITY } from './ports.js';
@@ -15,6 +16,7 @@
 /** The end of one job, to be committed. */
 interface Ending {
   job: LiveJob;
+  value: EndedValue;
   guard: Guard;
   writes: Write[];
 }
@@ -56,7 +58,7 @@
     const writes = batch.flatMap((e) => e.writes);
     this.state.commit(guards, writes, PRIORITY.leader, (committed) => {
       this.busy = false;
-      if (committed.kind === 'ok') for (const e of batch) this.ended(e.job);
+      if (committed.kind === 'ok') for (const e of batch) this.ended(e.job, e.value);
       else if (committed.kind === 'conflict') this.reconcile(batch);
     });
   }
@@ -67,14 +69,14 @@
     const most = Math.floor(this.rt.settings.state.txnOps / 2);
     for (const job of this.term.jobs.values()) {
       if (batch.length === most) break;
-      if (job.complete) batch.push(ending(job));
+      if (job.complete || job.doomed) batch.push(this.ending(job));
     }
     return batch;
   }
 
-  private ended(job: LiveJob): void {
+  private ended(job: LiveJob, end: JobEnd): void {
     for (const chunk of job.chunks()) this.term.progress.delete(progressEntry(job.id, chunk));
-    this.term.endJob(job.id);
+    this.term.endJob(job.id, end);
   }
 
   private noteProgress(): void {
@@ -105,17 +107,21 @@
   private reconcile(batch: Ending[]): void {
     for (const { job } of batch) {
       this.state.get(endedKey(job.id), PRIORITY.leader, (got) => {
-        if (got.kind === 'found') this.ended(job);
+        if (got.kind === 'found') this.ended(job, got.item.value as EndedValue);
       });
     }
   }
-}
 
-function ending(job: LiveJob): Ending {
-  const value: EndedValue = { state: 'done', spec: job.spec };
-  return {
-    job,
-    guard: { key: specKey(job.id), version: job.version },
-    writes: [{ put: endedKey(job.id), value }, { remove: specKey(job.id) }],
-  };
+  /** A job whose tasks are all done, or one that needs a cancelled job and never started. */
+  private ending(job: LiveJob): Ending {
+    const { valueBytes } = this.rt.settings.state;
+    const state = job.doomed ? 'cancelled' : 'done';
+    const value = endedValue(state, job.accepted, this.rt.today, valueBytes);
+    return {
+      job,
+      value,
+      guard: { key: specKey(job.id), version: job.version },
+      writes: [{ put: endedKey(job.id), value }, { remove: specKey(job.id) }],
+    };
+  }
 }
--- a/packages/controller/src/fleet-keeper.ts
+++ b/packages/controller/src/fleet-keeper.ts
@@ -55,6 +55,8 @@
 const NEW_TERM_PATIENCE = 1500;
 /** Boots take up to half as long again as their type says. */
 const BOOT_LEAD = 1.5;
+/** Work without any aim waits this long for cheap machines; few tasks may never fill one. */
+const AIMLESS_WAIT = 60_000;
 /** A slot is cheap up to this multiple of the cheapest. */
 const CHEAP_ENOUGH = 1.6;
 /** An owned fleet is not paid for by the second: what it rents is kept for longer. */
@@ -259,7 +261,8 @@
 
   private latest(job: LiveJob, guaranteed: boolean): Instant {
     const ratio = this.term.ratios.get(job.spec.jobClass) ?? 1;
-    return latestStart(job, ratio, guaranteed, this.rt.settings);
+    const latest = latestStart(job, ratio, guaranteed, this.rt.settings);
+    return latest === Infinity ? job.since + AIMLESS_WAIT : latest;
   }
 
   /** Dear machines are only for work that would otherwise start too late. */
--- /dev/null
+++ b/packages/controller/src/job-graph.ts
@@ -0,0 +1,148 @@
+import { predecessorsOf, type Instant } from '@tealdock/wire';
+import { chainDemands, type ChainJob } from '@tealdock/scheduler';
+import { endedKey, type EndedValue } from './keys.js';
+import type { LiveJob } from './live-job.js';
+import { PRIORITY } from './ports.js';
+import type { Runtime } from './runtime.js';
+import type { StateStore } from './state-store.js';
+
+const RETRY = 400;
+/** Reads of ends at a time: a new term may need hundreds, and has other things to read. */
+const MOST_READS = 12;
+
+/** The end of a job as its key says, or as this leader has committed it. */
+export type JobEnd = Pick<EndedValue, 'state' | 'at'>;
+
+/** What it has to know of a term. */
+interface Jobs {
+  readonly jobs: ReadonlyMap<string, LiveJob>;
+  readonly ratios: ReadonlyMap<string, number>;
+  readonly closed: boolean;
+}
+
+/**
+ * Which live jobs wait for which others. A job is released only once an ended key, read or
+ * committed by this leader, says `done` for each predecessor; nothing else releases
+ * (docs/safety.md). One that says `cancelled` dooms all that need that job.
+ */
+export class JobGraph {
+  /** Jobs that wait for a job, by that job. */
+  private readonly dependents = new Map<string, Set<LiveJob>>();
+  /** Ends that are to be read, in that order. */
+  private readonly unread = new Set<string>();
+  private reading = 0;
+  private changed = false;
+
+  constructor(
+    private readonly rt: Runtime,
+    private readonly state: StateStore,
+    private readonly term: Jobs,
+  ) {}
+
+  add(job: LiveJob): void {
+    if (job.waitsFor.size === 0) return;
+    this.changed = true;
+    for (const p of job.waitsFor) {
+      const waiting = this.dependents.get(p) ?? new Set();
+      this.dependents.set(p, waiting.add(job));
+    }
+  }
+
+  /** Ends of predecessors that are not live; to be called once all live jobs are known. */
+  readEnds(job: LiveJob): void {
+    for (const p of job.waitsFor) if (!this.term.jobs.has(p)) this.ask(p);
+  }
+
+  /** A job is no longer live. Without its end that has to be read before it counts. */
+  ended(job: LiveJob, end: JobEnd | null): void {
+    for (const p of predecessorsOf(job.accepted)) {
+      if (this.dependents.get(p)?.delete(job)) this.changed = true;
+    }
+    if (!this.dependents.has(job.id)) return;
+    if (end) this.settle(job.id, end);
+    else this.ask(job.id);
+  }
+
+  /** Priorities and deadlines along the chains, made anew where a chain has changed. */
+  weigh(): void {
+    if (!this.changed) return;
+    this.changed = false;
+    const all = [...this.term.jobs.values()];
+    const demands = chainDemands(all.filter((j) => !j.doomed).map((j) => this.chainJob(j)));
+    for (const job of all) {
+      const demand = demands.get(job.id);
+      if (demand) job.demand(demand);
+    }
+  }
+
+  private chainJob(job: LiveJob): ChainJob {
+    const { id, priority, estimate, jobClass } = job.accepted;
+    return {
+      id,
+      predecessors: predecessorsOf(job.accepted),
+      priority,
+      finishBy: job.ownFinishBy,
+      run: estimate * (this.term.ratios.get(jobClass) ?? 1),
+    };
+  }
+
+  // --- ends ------------------------------------------------------------------
+
+  private ask(id: string): void {
+    this.unread.add(id);
+    this.read();
+  }
+
+  private read(): void {
+    for (const id of this.unread) {
+      if (this.reading >= MOST_READS || this.term.closed) return;
+      this.unread.delete(id);
+      this.reading++;
+      this.state.get(endedKey(id), PRIORITY.leader, (got) => {
+        this.reading--;
+        if (got.kind === 'found') this.settle(id, got.item.value as EndedValue);
+        // It was accepted, so it is live: news of that may still be on its way.
+        else if (got.kind === 'failed' || !this.term.jobs.has(id)) this.askLater(id);
+        this.read();
+      });
+    }
+  }
+
+  private askLater(id: string): void {
+    this.rt.after(RETRY, () => {
+      if (!this.term.closed && this.dependents.has(id)) this.ask(id);
+    });
+  }
+
+  private settle(id: string, end: JobEnd): void {
+    const waiting = this.dependents.get(id);
+    this.dependents.delete(id);
+    this.changed = true;
+    for (const job of waiting ?? []) {
+      if (end.state === 'cancelled') this.doom(job);
+      else this.noteDone(job, id, end.at);
+    }
+  }
+
+  /** Released when the last of them was done; a take-over finds the same moment again. */
+  private noteDone(job: LiveJob, predecessor: string, at: number | undefined): void {
+    job.waitsFor.delete(predecessor);
+    job.lastDone = Math.max(job.lastDone, this.steady(at ?? -Infinity));
+    if (job.waitsFor.size > 0 || job.doomed) return;
+    job.released = Math.max(job.submitted, job.lastDone);
+    this.rt.env.log('debug', { job: job.id }, 'job released');
+  }
+
+  private steady(at: number): Instant {
+    return this.rt.now - Math.max(0, this.rt.today.getTime() - at);
+  }
+
+  private doom(first: LiveJob): void {
+    const next = [first];
+    for (let job = next.pop(); job; job = next.pop()) {
+      if (job.doomed) continue;
+      job.doomed = true;
+      next.push(...(this.dependents.get(job.id) ?? []));
+    }
+  }
+}
--- a/packages/controller/src/keys.ts
+++ b/packages/controller/src/keys.ts
@@ -42,6 +42,29 @@
 export interface EndedValue {
   state: Extract<JobState, 'done' | 'cancelled'>;
   spec: JobSpec;
+  /** Time of day of the end, in ms; versions before job chains did not write it. */
+  at?: number;
+}
+
+/** What of a value's limit is left for the map around a description. */
+const VALUE_OVERHEAD = 64;
+
+/** Sizes are counted in the form of JSON. */
+export const fitsValue = (spec: JobSpec, valueBytes: number): boolean =>
+  Buffer.byteLength(JSON.stringify(spec)) + VALUE_OVERHEAD <= valueBytes;
+
+/**
+ * An ended job as stored. A description that was accepted under a larger limit goes without
+ * its lists, which nothing asks for any more once the job is over.
+ */
+export function endedValue(
+  state: EndedValue['state'],
+  spec: JobSpec,
+  at: Date,
+  valueBytes: number,
+): EndedValue {
+  const kept = fitsValue(spec, valueBytes) ? spec : { ...spec, types: null, predecessors: [] };
+  return { state, spec: kept, at: at.getTime() };
 }
 /** A machine in the roster: type, zone, spot, returning, and since when it is known, in s. */
 export type RosterEntry = [
--- a/packages/controller/src/live-job.ts
+++ b/packages/controller/src/live-job.ts
@@ -1,4 +1,5 @@
-import type { Instant, JobSpec } from '@tealdock/wire';
+import { predecessorsOf, type Instant, type JobSpec } from '@tealdock/wire';
+import type { ChainDemand } from '@tealdock/scheduler';
 import { CHUNK_TASKS } from './keys.js';
 import type { Binding } from './machine.js';
 
@@ -29,18 +30,50 @@
   roomPlanAt: Instant = 0;
   /** The zone that was found to fit all of a gang that may use only one. */
   gangZone: string | null = null;
+  /** Jobs that are not known to be done, and that it waits for. */
+  readonly waitsFor: Set<string>;
+  /** When its tasks were released, on this process's steady clock; aims count from there. */
+  released: Instant | null;
+  /** When the last of its predecessors that are known to be done was. */
+  lastDone: Instant = -Infinity;
+  /** A job that it needs was cancelled: it never starts and ends as cancelled. */
+  doomed = false;
+  /** When its end is due for the sake of all that need it, and for its own. */
+  finishBy: Instant;
+  /** As accepted, but with the highest priority among itself and all that need it. */
+  spec: JobSpec;
   private readonly bits: Uint8Array;
   private readonly returned: number[] = [];
   private readonly attempts = new Map<number, number>();
   private next = 0;
 
   constructor(
-    readonly spec: JobSpec,
+    /** As accepted and stored. */
+    readonly accepted: JobSpec,
     readonly version: number,
     /** Submission, on this process's steady clock. */
     readonly submitted: Instant,
   ) {
-    this.bits = new Uint8Array(Math.ceil(spec.taskCount / 8));
+    this.spec = accepted;
+    this.bits = new Uint8Array(Math.ceil(accepted.taskCount / 8));
+    this.waitsFor = new Set(predecessorsOf(accepted));
+    this.released = this.waitsFor.size === 0 ? submitted : null;
+    this.finishBy = this.ownFinishBy;
+  }
+
+  /** By its own deadline, which counts from the submission however long it waits. */
+  get ownFinishBy(): Instant {
+    return this.submitted + (this.accepted.deadline ?? Infinity);
+  }
+
+  /** Since when its tasks may start; for a job that still waits, now is too early. */
+  get since(): Instant {
+    return this.released ?? Infinity;
+  }
+
+  demand({ priority, finishBy }: ChainDemand): void {
+    this.finishBy = finishBy;
+    if (priority !== this.spec.priority) this.spec = { ...this.accepted, priority };
   }
 
   get id(): string {
@@ -53,6 +86,7 @@
 
   /** Tasks neither done nor bound to a machine. */
   get waiting(): number {
+    if (this.released === null) return 0;
     return this.spec.taskCount - this.doneCount - this.bound.size;
   }
 
@@ -109,8 +143,9 @@
     return Array.from({ length: this.chunkOf(this.spec.taskCount - 1) + 1 }, (_, i) => i);
   }
 
-  /** Opens windows for released tasks: independent tasks are released at once. */
-  release(now: Instant): void {
+  /** Opens windows for the tasks once the job is released. */
+  openWindows(now: Instant): void {
+    if (this.released === null || this.doomed) return;
     const most = this.spec.kind === 'gang' ? Infinity : MOST_OPEN;
     while (this.open.size < most) {
       const index = this.returned.pop() ?? this.takeNext();
--- a/packages/controller/src/live-proofs.ts
+++ b/packages/controller/src/live-proofs.ts
@@ -14,6 +14,11 @@
 /** `live`: its key still had the version known. `changed`: it had not. */
 export type Proof = 'live' | 'changed' | 'unsure';
 
+interface Known {
+  version: number;
+  predecessors: string[];
+}
+
 /**
  * Polls about one job, and the version that its key had when the first of them came. The
  * job may be forgotten before they are compared: a key that is gone must not look the same.
@@ -30,8 +35,8 @@
  * arrived, so its answer is never older than what any user was told before.
  */
 export class LiveProofs {
-  /** Versions of live jobs' keys, as this node last read or wrote them. */
-  private readonly known = new Map<string, number>();
+  /** Live jobs' keys, as this node last read or wrote them. */
+  private readonly known = new Map<string, Known>();
   private waiting = new Map<string, Asked>();
   private planned = false;
 
@@ -40,9 +45,9 @@
     private readonly state: StateStore,
   ) {}
 
-  note(job: string, version: number): void {
+  note(job: string, version: number, predecessors: string[]): void {
     this.known.delete(job);
-    this.known.set(job, version);
+    this.known.set(job, { version, predecessors });
     const oldest = this.known.keys().next().value;
     if (this.known.size > MOST_KNOWN && oldest !== undefined) this.known.delete(oldest);
   }
@@ -51,9 +56,14 @@
     this.known.delete(job);
   }
 
+  /** What a live job waits for, as far as this node has read its key. */
+  predecessorsOf(job: string): string[] | undefined {
+    return this.known.get(job)?.predecessors;
+  }
+
   /** False where no version is known, so that the key has to be read. */
   ask(job: string, done: (proof: Proof) => void): boolean {
-    const version = this.known.get(job);
+    const version = this.known.get(job)?.version;
     if (version === undefined) return false;
     const asked = this.waiting.get(job) ?? { job, version, polls: [] };
     asked.polls.push(done);
--- a/packages/controller/src/packed-table.ts
+++ b/packages/controller/src/packed-table.ts
@@ -8,6 +8,8 @@
 const FILL = 0.7;
 /** Quotes, colon and comma around an entry of a map. */
 const ENTRY_OVERHEAD = 6;
+/** Part of what one transaction may hold; the rest is for its conditions. */
+const MOST_BYTES = 48 * 1024;
 /** Retry after a commit that failed. */
 const RETRY = 300;
 
@@ -18,6 +20,8 @@
   entries: Map<string, V>;
   bytes: number;
   dirty: boolean;
+  /** It has given entries away: what others took in is written before, or with it. */
+  shrunk: boolean;
 }
 
 interface ShardValue<V> {
@@ -59,8 +63,8 @@
 
   /** Takes over what an earlier term has stored. */
   load(items: StateItem[]): [string, V][] {
-    const found: [string, V][] = [];
-    for (const item of items) {
+    // Of an entry that stands twice the newest counts; the other goes with the next write.
+    for (const item of [...items].sort((a, b) => a.version - b.version)) {
       const entries = (item.value as ShardValue<V> | null)?.entries;
       if (typeof entries !== 'object' || entries === null) {
         this.rt.env.log('error', { key: item.key }, 'stored value can not be read');
@@ -68,11 +72,38 @@
       }
       const shard = this.addShard(item.key, item.version);
       for (const [id, value] of Object.entries(entries)) {
+        const older = this.home.get(id);
+        if (older) this.shrink(older, id);
         this.place(shard, id, value);
-        found.push([id, value]);
       }
     }
-    return found;
+    for (const shard of [...this.shards]) this.split(shard);
+    if (this.shards.some((s) => s.dirty)) this.plan();
+    return [...this.home].map(([id, shard]) => [id, shard.entries.get(id)!]);
+  }
+
+  /** Stored under larger limits: what is too much moves on, and stands twice for a while. */
+  private split(shard: Shard<V>): void {
+    for (const [id, value] of shard.entries) {
+      if (shard.bytes <= this.most) return;
+      this.shrink(shard, id);
+      this.settle(id, value);
+    }
+  }
+
+  private shrink(shard: Shard<V>, id: string): void {
+    this.drop(shard, id);
+    shard.dirty = shard.shrunk = true;
+  }
+
+  /** Into the first shard with room. */
+  private settle(id: string, value: V): void {
+    const size = sizeOf(id, value);
+    // One that gives away itself is written last, too late for what it would take in.
+    const room = (s: Shard<V>) => !s.shrunk && s.bytes + size <= this.most;
+    const shard = this.shards.find(room) ?? this.newShard();
+    this.place(shard, id, value);
+    shard.dirty = true;
   }
 
   get(id: string): V | undefined {
@@ -87,10 +118,9 @@
       this.place(old, id, value);
       old.dirty = true;
     } else {
-      if (old) this.remove(id);
-      const shard = this.shards.find((s) => s.bytes + size <= this.most) ?? this.newShard();
-      this.place(shard, id, value);
-      shard.dirty = true;
+      // Until both are written it stands twice, never in neither.
+      if (old) this.shrink(old, id);
+      this.settle(id, value);
     }
     this.plan();
   }
@@ -128,7 +158,14 @@
   }
 
   private addShard(key: string, version: number): Shard<V> {
-    const shard = { key, version, entries: new Map(), bytes: 0, dirty: false };
+    const shard: Shard<V> = {
+      key,
+      version,
+      entries: new Map(),
+      bytes: 0,
+      dirty: false,
+      shrunk: false,
+    };
     this.shards.push(shard);
     return shard;
   }
@@ -165,11 +202,20 @@
     if (this.closed || this.busy) return;
     const lost = this.shards.find((s) => s.dirty && s.version === null);
     if (lost) return this.reread(lost);
-    const batch = this.shards.filter((s) => s.dirty).slice(0, this.rt.settings.state.txnOps);
+    const batch = this.nextBatch();
     if (batch.length > 0 && this.leadership.held()) this.write(batch);
     else if (batch.length > 0) this.plan(RETRY);
   }
 
+  /** What others took in goes first; as many as one transaction takes. */
+  private nextBatch(): Shard<V>[] {
+    const dirty = this.shards.filter((s) => s.dirty);
+    const order = [...dirty.filter((s) => !s.shrunk), ...dirty.filter((s) => s.shrunk)];
+    let bytes = 0;
+    const batch = order.slice(0, this.rt.settings.state.txnOps);
+    return batch.filter((s, at) => (bytes += s.bytes) <= MOST_BYTES || at === 0);
+  }
+
   private write(batch: Shard<V>[]): void {
     this.busy = true;
     const stored = batch.flatMap((s) => [...s.entries]);
@@ -193,7 +239,10 @@
   private written(batch: Shard<V>[], committed: Committed, stored: [string, V][]): void {
     if (this.closed) return;
     if (committed.kind === 'ok') {
-      for (const s of batch) s.version = committed.revision;
+      for (const s of batch) {
+        s.version = committed.revision;
+        s.shrunk &&= s.dirty;
+      }
       this.options.stored(stored);
       if (this.shards.some((s) => s.dirty)) this.plan();
       return;
--- a/packages/controller/src/placer.ts
+++ b/packages/controller/src/placer.ts
@@ -88,7 +88,8 @@
     // A thousand reports come first: until they are in, only new jobs can be placed.
     if (!this.term.ready && this.rt.now - this.lastPass < REBUILD_PASS_EVERY) return;
     this.lastPass = this.rt.now;
-    for (const job of this.term.jobs.values()) job.release(this.rt.now);
+    this.term.graph.weigh();
+    for (const job of this.term.jobs.values()) job.openWindows(this.rt.now);
     if (!this.term.settled) return;
     this.rescue();
     this.promised.clear();
@@ -122,7 +123,7 @@
   private rankOf(job: LiveJob): Ranked {
     return {
       spec: job.spec,
-      submitted: job.submitted,
+      submitted: job.since,
       due: this.dueOf(job, this.inside.has(job.id)),
       guaranteed: this.belowGuarantee(job),
       starving: this.starves(job),
@@ -131,7 +132,7 @@
 
   private starves(job: LiveJob): boolean {
     const begun = job.doneCount > 0 || job.bound.size > 0;
-    return !begun && this.rt.now - job.submitted > STARVING;
+    return !begun && this.rt.now - job.since > STARVING;
   }
 
   private belowGuarantee(job: LiveJob): boolean {
@@ -320,7 +321,7 @@
     const { job, holders } = search;
     if (chosen.machine.images.has(job.spec.image)) return false;
     const fetch = fetchTime(job.spec.imageGb, chosen.type);
-    const left = this.aimFor(job) - (this.rt.now - job.submitted);
+    const left = this.aimFor(job) - (this.rt.now - job.since);
     if (fetch < left || left < STOP_TIME) return false;
     const wanted = need(job.spec);
     const coming = () => holders.desks.find((d) => fits(wanted, d.coming));
--- a/packages/controller/src/requests.ts
+++ b/packages/controller/src/requests.ts
@@ -2,8 +2,8 @@
   JOBS_PATH,
   WireError,
   isJobId,
-  packBody,
   parseSubmission,
+  predecessorsOf,
   renderJobView,
   submissionId,
   unpackBody,
@@ -12,7 +12,16 @@
 } from '@tealdock/wire';
 import { whyNever } from '@tealdock/scheduler';
 import type { Catalog } from './catalog.js';
-import { endedKey, readLive, specKey, type EndedValue, type LiveValue } from './keys.js';
+import {
+  endedKey,
+  endedValue,
+  fitsValue,
+  readLive,
+  specKey,
+  type EndedValue,
+  type LiveValue,
+} from './keys.js';
+import { Lineage } from './lineage.js';
 import { LiveProofs } from './live-proofs.js';
 import type { JobCounts, Peers } from './peers.js';
 import { PRIORITY, type Command, type Reply } from './ports.js';
@@ -23,12 +32,15 @@
 type Answer = (reply: Reply) => void;
 
 /** What the state service says of a job; `unsure` when it can't be told. */
-type Known =
+export type Known =
   | { kind: 'live'; value: LiveValue | null; version: number }
   | { kind: 'ended'; view: JobView }
   | { kind: 'none' }
   | { kind: 'unsure' };
 
+/** Without the value where a proof said that the job is live. */
+export type Located = Known | { kind: 'live' };
+
 /** `unsure` also for a job that was never accepted. */
 export type Liveness = 'live' | 'ended' | 'unsure';
 
@@ -45,6 +57,15 @@
 });
 const shown = (view: JobView, status = 200): Reply => ({ status, body: renderJobView(view) });
 
+/** Why a job can't wait for the jobs that it names, whatever these are. */
+function misnames(spec: JobSpec): string | null {
+  const wrong = predecessorsOf(spec).find((p) => !isJobId(p) || p === spec.id);
+  return wrong === undefined ? null : 'waits_on: names no other job';
+}
+
+const tooLong = (spec: JobSpec): string =>
+  predecessorsOf(spec).length > 0 ? 'waits_on: too many jobs' : 'the description is too long';
+
 /**
  * Users' requests, served on any node from the state service: a job is accepted,
  * done or cancelled when its key says so, and polls read or compare keys after they
@@ -53,6 +74,7 @@
 export class Requests {
   private readonly ended = new Map<string, JobView>();
   private readonly proofs: LiveProofs;
+  private readonly lineage: Lineage;
   private pending = 0;
 
   constructor(
@@ -64,6 +86,11 @@
     private readonly onCancelled: (id: string) => void,
   ) {
     this.proofs = new LiveProofs(rt, state);
+    this.lineage = new Lineage(rt, {
+      finalState: (id) => this.ended.get(id)?.state,
+      predecessorsOf: (id) => this.proofs.predecessorsOf(id),
+      locate: (id, done) => this.locate(id, done),
+    });
   }
 
   /** False if the path is none of the users'. */
@@ -108,30 +135,41 @@
   // --- reading ---------------------------------------------------------------
 
   private poll(id: string, answer: Answer): void {
+    this.locate(id, (known) => this.replyFor(id, known, refuse(404, 'no such job'), answer));
+  }
+
+  /** By a proof shared with others where the job is known to have been live, else by a read. */
+  private locate(id: string, done: (known: Located) => void): void {
     const proven = this.proofs.ask(id, (proof) => {
-      if (proof === 'unsure') answer(unsure());
-      else if (proof === 'live') answer(shown(this.liveView(id)));
-      else this.read(id, answer);
+      if (proof === 'changed') this.look(id, done);
+      else done(proof === 'live' ? { kind: 'live' } : { kind: 'unsure' });
     });
-    if (!proven) this.read(id, answer);
+    if (!proven) this.look(id, done);
   }
 
   /** Whether the job was live at some moment after this was asked, or is over for good. */
   prove(id: string, done: (proof: Liveness) => void): void {
-    const look = () =>
-      this.look(id, (known) => done(known.kind === 'none' ? 'unsure' : known.kind));
-    const proven = this.proofs.ask(id, (proof) => (proof === 'changed' ? look() : done(proof)));
-    if (!proven) look();
+    this.locate(id, ({ kind }) => done(kind === 'none' ? 'unsure' : kind));
   }
 
-  private read(id: string, answer: Answer): void {
-    this.look(id, (known) => answer(this.replyFor(id, known, refuse(404, 'no such job'))));
+  private replyFor(id: string, known: Located, none: Reply, answer: Answer): void {
+    if (known.kind === 'unsure') answer(unsure());
+    else if (known.kind === 'none') answer(none);
+    else if (known.kind === 'ended') answer(shown(known.view));
+    else this.replyLive(id, answer);
   }
 
-  private replyFor(id: string, known: Known, none: Reply): Reply {
-    if (known.kind === 'unsure') return unsure();
-    if (known.kind === 'none') return none;
-    return shown(known.kind === 'ended' ? known.view : this.liveView(id));
+  /**
+   * A live job is over all the same if one that it needs was cancelled: no leader may have
+   * come by since. This node ends it then, before anybody is told, so that no other node
+   * can say anything older.
+   */
+  private replyLive(id: string, answer: Answer): void {
+    this.lineage.check(id, (verdict) => {
+      if (verdict === 'clear') answer(shown(this.liveView(id)));
+      else if (verdict === 'unsure') answer(unsure());
+      else this.cancel(id, CANCEL_TRIES, answer);
+    });
   }
 
   private liveView(id: string): JobView {
@@ -150,7 +188,7 @@
       const { key, version } = got.item;
       const value = readLive(got.item.value);
       if (!value) this.rt.env.log('error', { key }, 'stored value can not be read');
-      this.proofs.note(id, version);
+      this.proofs.note(id, version, value ? predecessorsOf(value.spec) : []);
       done({ kind: 'live', value, version });
     });
   }
@@ -187,31 +225,58 @@
       return this.judge(submissionId(body), refuse(400, error.message), answer);
     }
     if (!this.catalog.known) return this.judge(spec.id, unsure(), answer);
-    const never = whyNever(spec, this.rt.settings.teams, this.catalog.types);
+    const never = whyNever(spec, this.rt.settings.teams, this.catalog.types) ?? misnames(spec);
     if (never) return this.judge(spec.id, refuse(422, never), answer);
-    const value: LiveValue = { spec, submitted: this.rt.today.getTime() };
-    if (packBody(value).length * 2 > this.rt.settings.state.valueBytes) {
-      return this.judge(spec.id, refuse(400, 'the description is too long'), answer);
+    if (!fitsValue(spec, this.rt.settings.state.valueBytes)) {
+      return this.judge(spec.id, refuse(400, tooLong(spec)), answer);
     }
-    this.accept(spec, value, answer);
+    this.checkPredecessors(spec, answer);
   }
 
   /** A refusal is only for a job that is not known already. */
   private judge(id: string | null, reply: Reply, answer: Answer): void {
     if (id === null) return answer(reply);
-    this.look(id, (known) => answer(this.replyFor(id, known, reply)));
+    this.look(id, (known) => this.replyFor(id, known, reply, answer));
+  }
+
+  /** Each has to have been accepted, and to be known to have been, by its key. */
+  private checkPredecessors(spec: JobSpec, answer: Answer): void {
+    const predecessors = predecessorsOf(spec);
+    const found = new Set<string>();
+    let left = predecessors.length;
+    if (left === 0) return this.accept(spec, false, answer);
+    for (const id of predecessors) {
+      this.locate(id, (known) => {
+        found.add(known.kind === 'ended' ? known.view.state : known.kind);
+        if (--left > 0) return;
+        if (found.has('none')) {
+          return this.judge(spec.id, refuse(422, 'waits_on: names an unknown job'), answer);
+        }
+        if (found.has('unsure')) return this.judge(spec.id, unsure(), answer);
+        this.accept(spec, found.has('cancelled'), answer);
+      });
+    }
   }
 
-  private accept(spec: JobSpec, value: LiveValue, answer: Answer): void {
+  /** A job that needs a cancelled one is accepted, and is over at once. */
+  private accept(spec: JobSpec, doomed: boolean, answer: Answer): void {
     const guards = [
       { key: specKey(spec.id), version: 0 },
       { key: endedKey(spec.id), version: 0 },
     ];
-    const write = { put: specKey(spec.id), value };
+    const { today, settings } = this.rt;
+    const live: LiveValue = { spec, submitted: today.getTime() };
+    const write = doomed
+      ? {
+          put: endedKey(spec.id),
+          value: endedValue('cancelled', spec, today, settings.state.valueBytes),
+        }
+      : { put: specKey(spec.id), value: live };
     this.state.commit(guards, [write], PRIORITY.user, (committed) => {
       if (committed.kind === 'ok') {
-        this.proofs.note(spec.id, committed.revision);
         this.rt.env.log('info', { job: spec.id, tasks: spec.taskCount }, 'job accepted');
+        if (doomed) return answer(shown(this.remember(spec.id, 'cancelled', 0), 201));
+        this.proofs.note(spec.id, committed.revision, predecessorsOf(spec));
         return answer(shown({ id: spec.id, state: 'queued' }, 201));
       }
       // Known already, or by an earlier commit of this request that got no answer.
@@ -239,7 +304,8 @@
     tries: number,
     answer: Answer,
   ): void {
-    const value: EndedValue = { state: 'cancelled', spec: live.spec };
+    const { valueBytes } = this.rt.settings.state;
+    const value = endedValue('cancelled', live.spec, this.rt.today, valueBytes);
     const guards = [
       { key: specKey(id), version },
       { key: endedKey(id), version: 0 },
--- a/packages/controller/src/slack.ts
+++ b/packages/controller/src/slack.ts
@@ -8,7 +8,8 @@
 export function guaranteedJobs(jobs: Iterable<LiveJob>, settings: Settings): Set<string> {
   const inside = new Set<string>();
   const used = new Map<string, { cpus: number; gpus: number }>();
-  for (const job of [...jobs].sort((a, b) => a.submitted - b.submitted)) {
+  const released = [...jobs].filter((job) => job.released !== null);
+  for (const job of released.sort((a, b) => a.since - b.since)) {
     const team = settings.teams.find((t) => t.name === job.spec.team);
     if (!team) continue;
     const sum = used.get(team.name) ?? { cpus: 0, gpus: 0 };
@@ -28,7 +29,7 @@
   guaranteed: boolean,
   settings: Settings,
 ): Instant[] {
-  const { deadline, estimate, jobClass } = job.spec;
+  const { estimate, jobClass } = job.spec;
   const run = estimate * ratio * LONGEST_TASK;
   const aims = settings.objectives.flatMap((o) => {
     if (o.within === null) return [];
@@ -36,8 +37,7 @@
     if (o.jobClass !== jobClass) return [];
     return o.kind === 'wait' ? [o.within] : o.kind === 'finished' ? [o.within - run] : [];
   });
-  if (deadline !== null) aims.push(deadline - run);
-  return aims.map((within) => job.submitted + within);
+  return [...aims.map((within) => job.since + within), job.finishBy - run];
 }
 
 /** When the job's tasks should have started, by its deadline and the aims for its class. */
--- a/packages/controller/src/term.ts
+++ b/packages/controller/src/term.ts
@@ -24,6 +24,7 @@
   type RosterEntry,
 } from './keys.js';
 import { FetchSharing } from './fetches.js';
+import { JobGraph, type JobEnd } from './job-graph.js';
 import type { Leadership } from './leadership.js';
 import { Ledger } from './ledger.js';
 import { LiveJob } from './live-job.js';
@@ -87,6 +88,7 @@
   readonly ledger = new Ledger();
   readonly fetchSharing = new FetchSharing();
   readonly silence: Silence;
+  readonly graph: JobGraph;
   readonly roster: PackedTable<RosterEntry>;
   readonly progress: PackedTable<string>;
   /** Machines whose held answer may have got orders. */
@@ -110,6 +112,7 @@
     this.acquired = rt.now;
     this.lastReport = rt.now;
     this.silence = new Silence(rt, state, this, (silent) => this.endSilent(silent));
+    this.graph = new JobGraph(rt, state, this);
     const table = { priority: PRIORITY.leader };
     this.roster = new PackedTable(rt, state, leadership, ROSTER_PREFIX, {
       ...table,
@@ -183,6 +186,7 @@
         this.knownTo = asked;
         for (const [id, entry] of this.roster.load(roster)) this.loadMachine(id, entry);
         this.loadJobs(live.items);
+        for (const job of this.jobs.values()) this.graph.readEnds(job);
         this.progressStored(this.progress.load(progress));
         this.finishLoad(live.revision);
       });
@@ -243,7 +247,10 @@
     const value = readLive(stored);
     if (!value) return this.rt.env.log('error', { job: id }, 'stored job can not be read');
     const age = Math.max(0, this.rt.today.getTime() - value.submitted);
-    this.jobs.set(id, new LiveJob(value.spec, version, this.rt.now - age));
+    const job = new LiveJob(value.spec, version, this.rt.now - age);
+    this.jobs.set(id, job);
+    this.graph.add(job);
+    if (this.loaded) this.graph.readEnds(job);
     const { jobClass, taskCount, image, imageGb } = value.spec;
     this.rt.env.log('debug', { job: id, jobClass, tasks: taskCount, image, imageGb }, 'job live');
   }
@@ -293,13 +300,14 @@
   }
 
   /** A job that is no longer live: by its own end, or cancelled on any node. */
-  endJob(id: string): void {
+  endJob(id: string, end: JobEnd | null = null): void {
     const job = this.jobs.get(id);
     if (!job) return;
     this.jobs.delete(id);
     remember(this.over, id);
     this.rt.env.log('info', { job: id, done: job.doneCount }, 'job ended');
     for (const b of job.bound.values()) this.discard(b, 'job ended');
+    this.graph.ended(job, end);
   }
 
   /** Its job has ended, for good: known from an event, by word, or from a read of its end. */
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -4,3 +4,4 @@
 export * from './order.js';
 export * from './preempt.js';
 export * from './fleet.js';
+export * from './chains.js';
--- a/packages/scheduler/src/order.ts
+++ b/packages/scheduler/src/order.ts
@@ -4,6 +4,8 @@
 
 export const rank = (spec: JobSpec): number => RANKS[spec.priority];
 
+export const higher = (a: Priority, b: Priority): Priority => (RANKS[a] >= RANKS[b] ? a : b);
+
 /** What the order of jobs depends on. */
 export interface Ranked {
   spec: JobSpec;
--- /dev/null
+++ b/packages/testing/src/chains.test.ts
@@ -0,0 +1,377 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { chainDemands, type ChainJob } from '@tealdock/scheduler';
+import { packBody, parseSettings } from '@tealdock/wire';
+import { World, job } from './index.js';
+import { A, ask, finished, keepsRules, others, running, settled, status } from './story.js';
+
+const idOf = (n: number): string => `run-${String(n).padStart(6, '0')}`;
+const B = idOf(2);
+const after = (...numbers: number[]) => ({ waits_on: numbers.map(idOf) });
+const CANCEL_WITHIN = 45_000;
+
+function submitted(world: World, n: number, over: Record<string, unknown> = {}): void {
+  const node = [...world.alive.keys()][n % world.alive.size]!;
+  assert.equal(ask(world, (d) => world.submit(job(n, over), node, d))?.status, 201, idOf(n));
+}
+
+/** As users do: each as soon as those that it needs are accepted. */
+function chained(world: World, n: number, waits: number[], node: string): void {
+  const over = { batch: 1, expected_s: 1, ...after(...waits) };
+  world.submit(job(n, over), node);
+  assert.ok(
+    world.runUntil(() => world.checker.accepted(idOf(n)), 4000),
+    idOf(n),
+  );
+}
+
+const begun = (world: World, n: number): boolean =>
+  [...world.workers.values()].some((w) => w.tasks.some((t) => t.piece.startsWith(idOf(n)))) ||
+  world.checker.doneTasks(idOf(n)).size > 0;
+
+const told = (world: World, n: number, node: string): unknown =>
+  status(ask(world, (d) => world.poll(idOf(n), node, d)));
+
+function crashLeader(world: World, away = 6000): void {
+  const leader = world.leader();
+  if (leader === null) return;
+  world.crash(leader);
+  world.at(away, () => world.alive.has(leader) || world.boot(leader));
+}
+
+test('a job starts once the last of its predecessors is done, across a change of leader', () => {
+  for (const moment of [2000, 6000, 10_000, 14_000]) {
+    const world = settled({ runTimeOf: (p) => (p.startsWith(A) ? 4000 : 12_000) });
+    submitted(world, 1);
+    submitted(world, 2);
+    submitted(world, 3, after(1, 2, 1));
+    assert.equal(told(world, 3, 'n-1'), 'queued');
+    world.at(moment, () => crashLeader(world));
+    assert.ok(finished(world, idOf(3)));
+    keepsRules(world);
+  }
+});
+
+test('a predecessor that ends as the job is accepted neither releases early nor keeps it waiting', () => {
+  for (let moment = 0; moment <= 1500; moment += 100) {
+    const world = settled({ runTime: 2000 });
+    world.submit(job(1), 'n-0');
+    assert.ok(world.runUntil(() => world.checker.doneTasks(A).size === 2, 20_000));
+    world.run(moment);
+    submitted(world, 2, after(1));
+    assert.ok(finished(world, B, 20_000), `submitted ${moment} ms after the last task`);
+    keepsRules(world);
+  }
+});
+
+// Nothing but a key releases: what runs at the predecessor's machines may run again.
+test('a predecessor whose last task is done, but not its key, does not release', () => {
+  const world = settled({ runTime: 3000 });
+  world.stateFault = (_node, call) =>
+    call.writes >= 2 && JSON.stringify(call.body).includes('ended/') ? 'lost_before' : undefined;
+  submitted(world, 1);
+  submitted(world, 2, after(1));
+  assert.ok(world.runUntil(() => world.checker.doneTasks(A).size === 2, 30_000));
+  world.run(10_000);
+  assert.ok(!begun(world, 2));
+  world.stateFault = null;
+  assert.ok(finished(world, B));
+  keepsRules(world);
+});
+
+test('cancel against done of a predecessor on two nodes: what follows it agrees', () => {
+  for (let moment = 0; moment <= 800; moment += 100) {
+    const world = settled({ runTime: 3000 }, 1);
+    submitted(world, 1, { batch: 1 });
+    submitted(world, 2, { batch: 1, ...after(1) });
+    const exited = () => world.checker.doneTasks(A).size === 1;
+    assert.ok(world.runUntil(exited, 20_000));
+    world.run(moment);
+    world.cancel(A, others(world)[0]!);
+    world.poll(A, others(world)[1]!);
+    world.run(15_000);
+    const end = told(world, 1, 'n-0');
+    assert.ok(end === 'done' || end === 'aborted');
+    assert.equal(told(world, 2, 'n-1'), end);
+    keepsRules(world);
+  }
+});
+
+test('a cancelled chain ends, without a task, through an outage and with the first question elsewhere', () => {
+  const world = settled();
+  submitted(world, 1, { expected_s: 500 });
+  submitted(world, 2, after(1));
+  submitted(world, 3, after(2));
+  submitted(world, 4, after(2, 3));
+  const [b, c] = others(world);
+  const leader = world.leader()!;
+  // The leader ends right after the cancellation, and nobody leads until the questions come.
+  for (const n of ['state', ...world.nodes]) world.cuts.add(`${n}>${leader}`);
+  world.cuts.add(`${leader}>state`);
+  world.run(1500);
+  world.cancel(A, b!);
+  world.run(500);
+  world.crash(leader);
+  world.state.down = true;
+  world.run(CANCEL_WITHIN + 10_000);
+  world.state.restore();
+  assert.equal(world.checker.final(A), 'aborted');
+  for (const n of [4, 3, 2]) world.poll(idOf(n), c!);
+  world.run(1500);
+  for (const n of [2, 3, 4]) assert.equal(world.checker.final(idOf(n)), 'aborted', idOf(n));
+  for (const n of [2, 3, 4]) assert.equal(told(world, n, b!), 'aborted');
+  world.boot(leader);
+  world.run(20_000);
+  for (const n of [2, 3, 4]) assert.ok(!begun(world, n));
+  keepsRules(world);
+});
+
+test('a job submitted behind a cancelled one is accepted and is over', () => {
+  const world = settled();
+  submitted(world, 1, { expected_s: 500 });
+  assert.equal(status(ask(world, (d) => world.cancel(A, 'n-1', d))), 'aborted');
+  const reply = ask(world, (d) => world.submit(job(2, after(1)), 'n-2', d));
+  assert.deepEqual([reply?.status, status(reply)], [201, 'aborted']);
+  assert.equal(told(world, 2, 'n-0'), 'aborted');
+  assert.equal(ask(world, (d) => world.submit(job(2, after(1)), 'n-0', d))?.status, 200);
+  assert.equal(ask(world, (d) => world.submit(job(3, after(2)), 'n-0', d))?.status, 201);
+  assert.equal(told(world, 3, 'n-1'), 'aborted');
+  keepsRules(world);
+});
+
+test('a cancellation that is answered with done lets what follows go on', () => {
+  const world = settled({ runTime: 2000 });
+  submitted(world, 1);
+  assert.ok(finished(world, A));
+  submitted(world, 2, { expected_s: 10, ...after(1) });
+  assert.equal(status(ask(world, (d) => world.cancel(A, 'n-2', d))), 'done');
+  assert.ok(finished(world, B));
+  keepsRules(world);
+});
+
+test('hundreds of jobs, wide and deep: all run in order, or end with the first', () => {
+  for (const cancels of [false, true]) {
+    const world = settled({ capacity: 8, runTime: 400 }, 8);
+    const [first, wide, deep] = [1, 120, 60];
+    if (cancels) world.options.runTime = 300_000;
+    submitted(world, first, { batch: 1, expected_s: 1 });
+    for (let i = 0; i < wide; i++) chained(world, 2 + i, [first], world.nodes[i % 3]!);
+    for (let i = 0; i < deep; i++) {
+      chained(world, 500 + i, i === 0 ? [2, 3, 4] : [500 + i - 1, 2 + i], world.nodes[i % 3]!);
+    }
+    const all = [...Array(wide).keys()].map((i) => 2 + i);
+    all.push(...[...Array(deep).keys()].map((i) => 500 + i));
+    if (cancels) {
+      crashLeader(world, 20_000);
+      assert.equal(
+        status(ask(world, (d) => world.cancel(A, [...world.alive.keys()][0]!, d))),
+        'aborted',
+      );
+      world.run(CANCEL_WITHIN);
+      for (const n of all) world.poll(idOf(n), world.nodes[n % 3]!);
+      world.run(3000);
+      for (const n of all) assert.equal(world.checker.final(idOf(n)), 'aborted', idOf(n));
+    } else {
+      const done = () => all.every((n) => world.checker.doneTasks(idOf(n)).size === 1);
+      assert.ok(world.runUntil(done, 400_000));
+    }
+    keepsRules(world);
+  }
+});
+
+test('one question about a deep chain costs few requests', () => {
+  const world = settled({}, 1);
+  submitted(world, 1, { expected_s: 500 });
+  for (let n = 2; n <= 60; n++) chained(world, n, [n - 1], 'n-0');
+  for (const cold of ['n-1', 'n-2']) {
+    let calls = 0;
+    world.stateFault = (node, call) => {
+      if (node === cold && call.priority === 1) calls++;
+      return undefined;
+    };
+    let answered = false;
+    for (let turn = 0; turn < 8 && !answered; turn++) {
+      const before = calls;
+      world.poll(idOf(60), cold, (r) => (answered = r?.status === 200));
+      world.run(2000);
+      assert.ok(calls - before <= 140, `${calls - before} requests`);
+    }
+    assert.ok(answered);
+    const before = calls;
+    world.poll(idOf(60), cold);
+    world.run(1000);
+    assert.ok(calls - before <= 4, 'what was learnt is kept');
+  }
+  keepsRules(world);
+});
+
+test('bad requests about predecessors', () => {
+  const world = settled();
+  const post = (n: number, waits: unknown, node = 'n-0') =>
+    world.raw(node, 'POST', '/api/jobs', packBody(job(n, { waits_on: waits })))?.status;
+  assert.equal(post(2, 'run-000001'), 400);
+  assert.equal(post(2, [1]), 400);
+  assert.equal(post(2, [A]), 422, 'never accepted');
+  assert.equal(post(2, ['job one']), 422);
+  submitted(world, 1, { expected_s: 500 });
+  assert.equal(post(2, [B, A]), 422, 'itself');
+  const many = Array.from({ length: 500 }, (_, i) => idOf(1000 + i));
+  const tooMany = world.raw('n-0', 'POST', '/api/jobs', packBody(job(2, { waits_on: many })));
+  assert.equal(tooMany?.status, 400);
+  assert.match(String((tooMany?.body as { error: string }).error), /^waits_on/);
+  world.stateFault = (node) => (node === 'n-2' ? 'lost_before' : undefined);
+  for (const n of ['n-0', 'n-1']) world.cuts.add(`n-2>${n}`);
+  let unsure: number | undefined;
+  world.submit(job(2, after(1)), 'n-2', (r) => (unsure = r?.status));
+  world.run(5000);
+  assert.equal(unsure, 503);
+  world.stateFault = null;
+  world.cuts.clear();
+  for (const [n, none] of [null, [], undefined].entries()) {
+    submitted(world, 10 + n, { waits_on: none });
+  }
+  submitted(world, 2, after(1, 1));
+  assert.equal(post(2, 'anything'), 200, 'a known job is known whatever the body says now');
+  assert.equal(post(2, [idOf(99)]), 200);
+  keepsRules(world);
+});
+
+test('a waiting job rents nothing, counts for no guarantee, and its aims start at its release', () => {
+  const world = new World({
+    capacity: 6,
+    guarantee: 4,
+    runTimeOf: (p) => (p.startsWith(A) ? 150_000 : 4000),
+  });
+  world.run(5000);
+  submitted(world, 1, { batch: 1 });
+  submitted(world, 2, { batch: 16, ...after(1) });
+  world.run(140_000);
+  assert.ok(world.cloud.rented.length <= 2, `${world.cloud.rented.length} machines`);
+  assert.ok(!begun(world, 2));
+  crashLeader(world);
+  // It waited for more than two minutes, but is no older than its release.
+  assert.ok(finished(world, B, 200_000));
+  keepsRules(world);
+});
+
+const chainJob = (id: string, predecessors: string[], over: Partial<ChainJob> = {}): ChainJob => ({
+  id,
+  predecessors,
+  priority: 'low',
+  finishBy: Infinity,
+  run: 10,
+  ...over,
+});
+
+test('priority and deadline go back along the longest path, and drop with what needed them', () => {
+  const last = chainJob('d', ['b', 'c'], { priority: 'high', finishBy: 1000, run: 5 });
+  const jobs = [
+    chainJob('a', []),
+    chainJob('b', ['a'], { run: 100 }),
+    chainJob('c', ['a'], { run: 20, priority: 'normal', finishBy: 500 }),
+    last,
+    chainJob('x', ['gone'], { finishBy: 7 }),
+  ];
+  const all = chainDemands(jobs);
+  assert.deepEqual(all.get('a'), { priority: 'high', finishBy: 480 });
+  assert.deepEqual(all.get('b'), { priority: 'high', finishBy: 995 });
+  assert.deepEqual(all.get('c'), { priority: 'high', finishBy: 500 });
+  assert.deepEqual(all.get('x'), { priority: 'low', finishBy: 7 });
+  const without = chainDemands(jobs.filter((j) => j !== last));
+  assert.deepEqual(without.get('a'), { priority: 'normal', finishBy: 480 });
+  assert.deepEqual(without.get('b'), { priority: 'low', finishBy: Infinity });
+});
+
+test('work that an urgent job needs goes before other work, until that job is cancelled', () => {
+  for (const cancels of [false, true]) {
+    const world = settled({ capacity: 1, runTime: 4000 }, 1);
+    const low = { urgency: 'idle', batch: 8 };
+    submitted(world, 1, { ...low, batch: 20 });
+    submitted(world, 2, { ...low });
+    submitted(world, 3, { urgency: 'urgent', batch: 1, ...after(2) });
+    if (cancels)
+      assert.equal(status(ask(world, (d) => world.cancel(idOf(3), 'n-1', d))), 'aborted');
+    const tasks = (id: string) => world.checker.doneTasks(id).size;
+    world.runUntil(() => tasks(B) === 8, 60_000);
+    if (cancels) assert.ok(tasks(A) >= 16, `${tasks(A)} tasks of older work were done first`);
+    else assert.ok(tasks(A) < 16, `${tasks(A)} tasks of older work were done before`);
+    if (!cancels) assert.ok(finished(world, idOf(3), 20_000));
+    keepsRules(world);
+  }
+});
+
+test('the lower of both limits holds from the first start', () => {
+  const text = (next: string) =>
+    [
+      'member = "n-0"\nzone = "a"\npublic_addr = "10.0.0.1:1"\ncluster_listen = "10.0.0.1:2"',
+      '[external]\ncloud = "10.0.0.2:1"\nstate = "10.0.0.3:1"',
+      '[settings.workers]\nreport_s = 3.0\nlease_s = 20.0\ncancel_s = 45.0',
+      '[settings.cloud]\nrps = 6.0\nlist_lag_s = 1.0',
+      '[settings.state]\nrps = 100.0\nwrite_rps = 40.0\nvalue_kb = 16.0\ntxn_ops = 12',
+      next,
+    ].join('\n');
+  const limits = (next: string) => parseSettings(text(next)).state;
+  assert.deepEqual(limits(''), { rps: 100, writeRps: 40, valueBytes: 16384, txnOps: 12 });
+  assert.deepEqual(limits('[settings.state.next]\nwrite_rps = 28.0\nvalue_kb = 2.0\ntxn_ops = 4'), {
+    rps: 100,
+    writeRps: 28,
+    valueBytes: 2048,
+    txnOps: 4,
+  });
+  assert.throws(() => limits('[settings.state.next]\ntxn_ops = 0'), /txn_ops/);
+  assert.throws(() => limits('[settings.state.next]\nvalue_kb = -1'), /value_kb/);
+});
+
+/** Entries of all shards below a prefix, and whether any shard is too large. */
+function entriesOf(world: World, prefix: string): Set<string> {
+  const shards = [...world.state.keys].filter(([key]) => key.includes(prefix));
+  return new Set(shards.flatMap(([, e]) => Object.keys((e.v as { entries: object }).entries)));
+}
+
+function largestShard(world: World): number {
+  const shards = [...world.state.keys].filter(([k]) => /roster|progress/.test(k));
+  return Math.max(...shards.map(([, e]) => JSON.stringify(e.v).length));
+}
+
+test('limits are lowered with large shards stored: no entry is missing at any moment', () => {
+  for (const crashes of [false, true]) {
+    const options = { cpuLimit: 10_000, valueBytes: 16_384, txnOps: 12, runTime: 40_000 };
+    const world = settled(options, 300);
+    submitted(world, 1, { batch: 1000, expected_s: 40 });
+    world.run(8000);
+    const machines = entriesOf(world, '/roster/');
+    assert.equal(machines.size, 300);
+    assert.ok(largestShard(world) > 8000);
+    world.options.next = { valueBytes: 2048, txnOps: 4 };
+    for (const n of world.nodes) {
+      world.crash(n);
+      world.boot(n);
+    }
+    const whole = () => [...machines].every((m) => entriesOf(world, '/roster/').has(m));
+    for (let i = 0; i < 200; i++) {
+      if (i === 3) world.lowerLimits();
+      if (crashes && i % 8 === 7 && i < 60) crashLeader(world, 400);
+      world.run(100);
+      assert.ok(whole(), `after ${i * 100} ms`);
+    }
+    assert.ok(largestShard(world) <= 2048);
+    assert.equal(world.state.refusals, 0, 'nothing was written that is too large');
+    assert.ok(finished(world, A, 300_000));
+    keepsRules(world);
+  }
+});
+
+test('many jobs under low limits: nothing is too large, all run', () => {
+  const next = { valueBytes: 2048, txnOps: 2 };
+  const world = settled({ capacity: 6, runTime: 3000, next }, 6);
+  world.lowerLimits();
+  for (let n = 1; n <= 30; n++) {
+    const over = n > 3 ? after(n - 1, n - 3) : {};
+    world.submit(job(n, { ...over, batch: 4 }), world.nodes[n % 3]!);
+    world.run(200);
+  }
+  assert.ok(finished(world, idOf(30), 300_000));
+  assert.equal(world.state.refusals, 0);
+  assert.equal(running(world), 0);
+  keepsRules(world);
+});
--- a/packages/testing/src/fake-state.ts
+++ b/packages/testing/src/fake-state.ts
@@ -25,6 +25,15 @@
   writes: ({ write: string; v: unknown; tenancy?: number } | { delete: string })[];
 }
 
+export interface StateCaps {
+  valueBytes: number;
+  txnOps: number;
+}
+
+const MOST_TRANSACTION = 64 * 1024;
+
+const sizeOf = (value: unknown): number => Buffer.byteLength(JSON.stringify(value ?? null));
+
 const answer = (status: number, body: unknown): CallResult => ({ kind: 'answer', status, body });
 const clone = <T>(value: T): T => structuredClone(value);
 
@@ -33,6 +42,10 @@
   readonly keys = new Map<string, Entry>();
   epoch = 0;
   down = false;
+  /** The largest value and transaction; more is a 400. */
+  caps: StateCaps | null = null;
+  /** Transactions that were too large. */
+  refusals = 0;
   /** Nodes that get 503 while all others are served; their open watches wait. */
   readonly refused = new Set<string>();
   private readonly leases = new Map<number, Lease>();
@@ -114,7 +127,19 @@
     return answer(200, clone({ items, has_next: keys.length > most, epoch: this.epoch }));
   }
 
+  private tooLarge({ guards, writes }: Commit): boolean {
+    if (!this.caps) return false;
+    const { valueBytes, txnOps } = this.caps;
+    if (writes.length > txnOps || guards.length > txnOps * 4) return true;
+    if (sizeOf({ guards, writes }) > MOST_TRANSACTION) return true;
+    return writes.some((w) => 'write' in w && sizeOf(w.v) > valueBytes);
+  }
+
   private commit({ guards, writes }: Commit): CallResult {
+    if (this.tooLarge({ guards, writes })) {
+      this.refusals++;
+      return answer(400, { error: 'too large' });
+    }
     const failed = guards.filter((g) => (this.keys.get(g.key)?.stamp ?? 0) !== g.stamp);
     const dead = writes.some(
       (w) => 'write' in w && w.tenancy !== undefined && !this.leases.has(w.tenancy),
--- a/packages/testing/src/faults.test.ts
+++ b/packages/testing/src/faults.test.ts
@@ -172,6 +172,12 @@
 function user(world: World, number: number): void {
   const node = () => pick(world, [...world.alive.keys()]);
   const id = `run-${String(number).padStart(6, '0')}`;
+  // Some wait for earlier ones, as far as those were accepted.
+  const chained = world.random() < 0.4;
+  const earlier = () =>
+    [number - 1, number - 2, number - 5]
+      .map((n) => `run-${String(n).padStart(6, '0')}`)
+      .filter((other) => world.checker.accepted(other));
   const body = job(number, {
     batch: 1 + Math.floor(world.random() * 6),
     expected_s: 2 + world.random() * 30,
@@ -180,6 +186,8 @@
   const step = () => {
     const at = node();
     if (world.checker.final(id) !== null) return;
+    // A retry is the same request again, so what it names is settled at the first.
+    if (chained) body['waits_on'] ??= earlier();
     if (at && !world.checker.accepted(id)) world.submit(body, at);
     else if (at) world.poll(id, at);
     world.at(2500, step);
--- a/packages/testing/src/rule-checker.test.ts
+++ b/packages/testing/src/rule-checker.test.ts
@@ -122,6 +122,34 @@
   assert.deepEqual(faults()[0], 'team team');
 });
 
+test('a task that starts before all that its job needs is done', () => {
+  const watch = new Watch();
+  const first = watch.accept(1, { batch: 2 });
+  const second = watch.accept(2, { waits_on: [first] });
+  watch.finish(`${first}/0`);
+  watch.checker.started(`${second}/0`, 'm-2');
+  assert.deepEqual(watch.rules(), ['too_early']);
+  watch.finish(`${first}/1`);
+  watch.checker.started(`${second}/1`, 'm-2');
+  assert.deepEqual(watch.rules(), ['too_early']);
+});
+
+test('a job that is called queued for long after one before it was cancelled', () => {
+  const watch = new Watch();
+  const first = watch.accept(1);
+  const second = watch.accept(2, { waits_on: [first] });
+  const third = watch.accept(3, { waits_on: [second] });
+  watch.checker.told(first, 200, 'aborted', true, null);
+  watch.pass(40_000);
+  watch.checker.told(third, 200, 'queued', true, null);
+  assert.deepEqual(watch.rules(), []);
+  watch.pass(10_000);
+  watch.checker.told(third, 200, 'aborted', true, null);
+  assert.deepEqual(watch.rules(), []);
+  watch.checker.told(second, 200, 'queued', true, null);
+  assert.deepEqual(watch.rules(), ['orphaned']);
+});
+
 test('a largest job that begins after four minutes', () => {
   const watch = new Watch();
   const id = watch.accept(1, { batch: 1 });
--- a/packages/testing/src/rule-checker.ts
+++ b/packages/testing/src/rule-checker.ts
@@ -1,4 +1,4 @@
-import type { JobSpec } from '@tealdock/wire';
+import { predecessorsOf, type JobSpec } from '@tealdock/wire';
 
 /** No question about a job is answered for this long: it is forgotten. */
 const UNANSWERED = 75_000;
@@ -30,6 +30,8 @@
   accepted: boolean;
   final: string | null;
   cancelTold: number | null;
+  /** When its last task was done. */
+  doneAt: number | null;
   doneTasks: Set<string>;
 }
 
@@ -66,6 +68,7 @@
       accepted: false,
       final: null,
       cancelTold: null,
+      doneAt: null,
       doneTasks: new Set(),
     });
   }
@@ -131,6 +134,10 @@
 
   private toldState(id: string, job: Seen, state: string): void {
     if (state === 'done' && job.doneTasks.size < job.spec.taskCount) this.break('not_done', id);
+    if (state === 'queued' || state === 'running') {
+      const late = this.now() - this.doomedSince(job) > this.cancelWithin;
+      if (late) this.break('orphaned', `${id} ${state}`);
+    }
     if (state !== 'done' && state !== 'aborted') return;
     if (job.final !== null && job.final !== state) this.break('went_back', `${id} to ${state}`);
     job.final = state;
@@ -145,6 +152,7 @@
     this.running.set(task, on);
     const job = this.jobOf(task);
     if (job) job.begun ??= this.now();
+    if (job && this.waits(job)) this.break('too_early', task);
     if (job && job.cancelTold !== null) this.startsAfterCancel++;
     this.checkCancelled(task);
     this.checkQuota();
@@ -154,7 +162,35 @@
     const on = this.running.get(task);
     on?.delete(machine);
     if (on?.size === 0) this.running.delete(task);
-    if (reason === 'done') this.jobOf(task)?.doneTasks.add(task);
+    const job = this.jobOf(task);
+    if (reason !== 'done' || !job) return;
+    job.doneTasks.add(task);
+    if (job.doneTasks.size === job.spec.taskCount) job.doneAt ??= this.now();
+  }
+
+  private before(job: Seen): Seen[] {
+    return predecessorsOf(job.spec).flatMap((p) => this.jobs.get(p) ?? []);
+  }
+
+  /** Some job that it needs is not done. */
+  private waits(job: Seen): boolean {
+    return this.before(job).some((p) => p.doneAt === null);
+  }
+
+  /** Since when it may run. */
+  private since(job: Seen): number {
+    return Math.max(job.submitted, ...this.before(job).map((p) => p.doneAt ?? this.now()));
+  }
+
+  /** When a user was first told that a job before it, however far, is cancelled. */
+  private doomedSince(job: Seen, seen = new Set<Seen>()): number {
+    let first = Infinity;
+    for (const p of this.before(job)) {
+      if (seen.has(p)) continue;
+      seen.add(p);
+      first = Math.min(first, p.cancelTold ?? Infinity, this.doomedSince(p, seen));
+    }
+    return first;
   }
 
   check(): void {
@@ -196,7 +232,7 @@
       const largest = bySize.slice(0, Math.max(1, Math.floor(jobs.length * LARGEST_PART)));
       check(`largest of ${name}`, largest);
       for (const j of largest) {
-        const waited = (j.begun ?? this.now()) - j.submitted;
+        const waited = (j.begun ?? this.now()) - this.since(j);
         if (waited > LARGEST_BEGIN) faults.push(`${j.spec.id} began after ${waited} ms`);
       }
     }
@@ -215,7 +251,7 @@
   private couldRun(job: Seen, running: number, rooms: MachineRoom[]): boolean {
     const { spec } = job;
     const waiting = spec.taskCount - job.doneTasks.size - running;
-    if (!job.accepted || job.final !== null || waiting <= 0) return false;
+    if (!job.accepted || job.final !== null || waiting <= 0 || this.waits(job)) return false;
     // Where its tasks may be depends on each other: a room says nothing by itself.
     if (spec.kind !== 'array' || spec.oneZone || spec.spread) return false;
     const left = (this.cpuLimits.get(spec.team) ?? 0) - (this.teamUse().get(spec.team) ?? 0);
--- a/packages/testing/src/stories.test.ts
+++ b/packages/testing/src/stories.test.ts
@@ -274,6 +274,15 @@
   keepsRules(world);
 });
 
+// A machine for one task costs more than a slot's share of it: it was never rented.
+test('a single small task without any aim gets a machine', () => {
+  const world = new World({ capacity: 4 });
+  world.run(5000);
+  world.submit(job(1, { batch: 1 }), 'n-0');
+  assert.ok(finished(world, A, 150_000));
+  keepsRules(world);
+});
+
 test('owned machines are never given back', () => {
   const world = settled({}, 2);
   world.run(200_000);
--- a/packages/testing/src/world.ts
+++ b/packages/testing/src/world.ts
@@ -21,7 +21,7 @@
 import { CallGates, CommandQueue } from '@tealdock/adapters';
 import { FakeCloud, TYPE } from './fake-cloud.js';
 import { FakeSockets } from './fake-sockets.js';
-import { FakeState } from './fake-state.js';
+import { FakeState, type StateCaps } from './fake-state.js';
 import { FakeWorker, type WireCommands, type WorkerHost } from './fake-worker.js';
 import { RuleChecker, type MachineRoom } from './rule-checker.js';
 
@@ -53,6 +53,9 @@
   fetches?: { gbPerS: number; shared: boolean };
   /** Sockets of a process, and what the state service serves a second; enforced if named. */
   limits?: { sockets: number; rps: number; writeRps: number };
+  valueBytes?: number;
+  /** What the limits of the state service will be lowered to. */
+  next?: StateCaps;
   /** What the controllers take for the workers' lease; a wrong one breaks a guard on purpose. */
   believedLease?: number;
   terms?: Terms;
@@ -166,6 +169,7 @@
     const generator = xoroshiro128plus(options.seed ?? 1);
     this.random = () => uniformFloat64(generator);
     this.state = new FakeState(() => this.clock, options.limits);
+    this.state.caps = this.caps();
     this.cloud = new FakeCloud(
       () => this.clock,
       options.capacity ?? 4,
@@ -226,7 +230,8 @@
     const { cpuLimit, guarantee, believedLease } = this.options;
     const settings = settingsFor(name, cpuLimit ?? 100, guarantee, this.terms);
     settings.workerLease = believedLease ?? this.terms.lease;
-    settings.state.txnOps = this.options.txnOps ?? settings.state.txnOps;
+    const caps = this.caps(this.options.next);
+    settings.state = { ...settings.state, ...caps };
     const { limits } = this.options;
     settings.maxConnections = limits?.sockets ?? settings.maxConnections;
     if (limits) settings.state = { ...settings.state, ...limits };
@@ -257,6 +262,20 @@
     this.alive.set(name, node);
   }
 
+  /** The limits that hold, or the lower of these and others. */
+  private caps(next?: StateCaps): StateCaps {
+    const { valueBytes = 4096, txnOps = 8 } = this.options;
+    return {
+      valueBytes: Math.min(valueBytes, next?.valueBytes ?? Infinity),
+      txnOps: Math.min(txnOps, next?.txnOps ?? Infinity),
+    };
+  }
+
+  /** The state service lowers its limits, without notice. */
+  lowerLimits(): void {
+    this.state.caps = this.caps(this.options.next);
+  }
+
   private gatesFor(settings: Settings): CallGates {
     return new CallGates(settings, {
       now: () => this.clock,
--- a/packages/wire/src/domain.ts
+++ b/packages/wire/src/domain.ts
@@ -34,8 +34,12 @@
   checkpoint: Duration;
   save: Duration;
   deadline: Duration | null;
+  /** Jobs that have to be done before any task of this one starts; stored ones may lack it. */
+  predecessors?: string[];
 }
 
+export const predecessorsOf = (spec: JobSpec): string[] => spec.predecessors ?? [];
+
 export type JobState = 'queued' | 'running' | 'done' | 'cancelled';
 
 export interface JobView {
--- a/packages/wire/src/jobs.ts
+++ b/packages/wire/src/jobs.ts
@@ -40,6 +40,7 @@
   snapshot_s: amount,
   flush_s: amount,
   due_s: amount.nullish(),
+  waits_on: z.array(z.string()).nullish(),
 });
 
 /** Job ids always have one form; anything else names no job. */
@@ -78,6 +79,7 @@
     checkpoint: millis(s.snapshot_s),
     save: millis(s.flush_s),
     deadline: s.due_s == null ? null : millis(s.due_s),
+    ...(s.waits_on?.length ? { predecessors: [...new Set(s.waits_on)] } : {}),
   };
 }
 
--- a/packages/wire/src/settings.ts
+++ b/packages/wire/src/settings.ts
@@ -40,6 +40,15 @@
       write_rps: positive,
       value_kb: positive,
       txn_ops: z.number().int().min(2),
+      next: z
+        .object({
+          rps: positive,
+          write_rps: positive,
+          value_kb: positive,
+          txn_ops: z.number().int().min(2),
+        })
+        .partial()
+        .nullish(),
     }),
     cloud: z.object({ rps: positive, list_lag_s: amount }),
     machine_limits: z
@@ -113,17 +122,23 @@
     reportEvery: millis(s.workers.report_s),
     workerLease: millis(s.workers.lease_s),
     cancelWithin: millis(s.workers.cancel_s),
-    state: {
-      rps: s.state.rps,
-      writeRps: s.state.write_rps,
-      valueBytes: s.state.value_kb * 1024,
-      txnOps: s.state.txn_ops,
-    },
+    state: stateLimits(s.state),
     cloud: { rps: s.cloud.rps, listLag: millis(s.cloud.list_lag_s) },
     maxConnections: s.machine_limits.max_connections,
   };
 }
 
+/** Limits may be lowered without notice to what `next` says: the lower of both hold always. */
+function stateLimits({ next, ...now }: z.infer<typeof platform>['settings']['state']) {
+  const lower = (key: keyof typeof now) => Math.min(now[key], next?.[key] ?? Infinity);
+  return {
+    rps: lower('rps'),
+    writeRps: lower('write_rps'),
+    valueBytes: lower('value_kb') * 1024,
+    txnOps: lower('txn_ops'),
+  };
+}
+
 function readToml(text: string): unknown {
   try {
     return parseToml(text);
