--- /dev/null
+++ b/packages/testing/src/rolls.test.ts
@@ -0,0 +1,195 @@
+import assert from 'node:assert/strict';
+import { readFileSync } from 'node:fs';
+import { test } from 'node:test';
+import { PeerDecoder, packPeer, type PeerMessage } from '@tealdock/wire';
+import { World, job, type WorldOptions } from './index.js';
+import { A, ask, finished, keepsRules, settled, status } from './story.js';
+
+/** What the version before job chains stored and sent, made by running it. */
+interface Recorded {
+  epoch: number;
+  keys: { key: string; v: unknown; stamp: number }[];
+  frames: { message: Record<string, unknown>; frame: string }[];
+}
+const FIXTURE = new URL('../fixtures/before-chains.json', import.meta.url);
+const recorded = JSON.parse(readFileSync(FIXTURE, 'utf8')) as Recorded;
+
+const idOf = (n: number): string => `run-${String(n).padStart(6, '0')}`;
+
+/** A state service that holds what the older version left, its leader's lease over. */
+function inherited(options: WorldOptions = {}): World {
+  const world = new World({ capacity: 4, cpuLimit: 100, ...options });
+  for (const { key, v, stamp } of recorded.keys) {
+    if (!key.endsWith('/leader')) world.state.keys.set(key, { v, stamp, lease: null });
+  }
+  world.state.epoch = recorded.epoch;
+  // Names are never used again: those of its machines are gone.
+  for (let i = 0; i < 60; i++) world.cloud.take(world.cloud.add('a').id);
+  for (const n of world.nodes) {
+    world.crash(n);
+    world.boot(n);
+  }
+  return world;
+}
+
+/** True if a reader of the recorded value finds all of it in the new one. */
+function readableAs(old: unknown, now: unknown): boolean {
+  if (old === null || now === null) return old === now || typeof now !== 'undefined';
+  if (Array.isArray(old) || typeof old !== 'object') return typeof old === typeof now;
+  const fields = now as Record<string, unknown>;
+  return Object.entries(old).every(([name, value]) => readableAs(value, fields[name]));
+}
+
+test('messages between controllers are the same, byte for byte', () => {
+  for (const { message, frame } of recorded.frames) {
+    const bytes = Buffer.from(frame, 'base64');
+    const [decoded, ...rest] = new PeerDecoder().push(bytes);
+    assert.equal(rest.length, 0);
+    const sent = { ...message };
+    if (typeof sent['body'] === 'string') sent['body'] = Buffer.from(sent['body'], 'base64');
+    for (const [name, value] of Object.entries(sent)) {
+      const heard = (decoded as unknown as Record<string, unknown>)[name];
+      assert.equal(JSON.stringify(heard), JSON.stringify(value), name);
+    }
+    assert.deepEqual(packPeer(sent as PeerMessage), bytes);
+  }
+});
+
+test('what the older version stored is read whole: jobs, ends, progress and roster', () => {
+  const world = inherited({ runTime: 3000 });
+  const live = recorded.keys.filter((k) => k.key.includes('/live/'));
+  for (const { v } of live) {
+    const { spec } = v as { spec: { id: string; taskCount: number } };
+    world.jobs.set(spec.id, spec as never);
+  }
+  world.run(4000);
+  const loaded = world.log.find((l) => l.message === 'term loaded');
+  assert.deepEqual([loaded?.fields['jobs'], loaded?.fields['machines']], [live.length, 60]);
+  for (const { key, v } of recorded.keys.filter((k) => k.key.includes('/ended/'))) {
+    const id = key.split('/').at(-1)!;
+    const { state } = v as { state: string };
+    const told = status(ask(world, (d) => world.poll(id, 'n-1', d)));
+    assert.equal(told, state === 'cancelled' ? 'aborted' : state);
+  }
+  // Its machines are gone, which their leases prove; then what was not done runs.
+  const starts = new Set<unknown>();
+  const over = () => [...world.state.keys.keys()].every((k) => !k.includes('/live/'));
+  assert.ok(world.runUntil(over, 300_000));
+  for (const l of world.log) if (l.message === 'start sent') starts.add(l.fields['task']);
+  const doneBefore = ['run-000003/0', 'run-000004/0'];
+  for (const task of doneBefore) assert.ok(!starts.has(task), `${task} was done before`);
+  assert.ok(starts.has('run-000003/3'));
+});
+
+test('a job waits for what ended, or runs on, under the older version', () => {
+  const world = inherited();
+  for (let i = 0; i < 2; i++) world.cloud.add('a');
+  world.run(40_000);
+  const ended = recorded.keys.filter((k) => k.key.includes('/ended/'));
+  const done = ended
+    .find((k) => (k.v as { state: string }).state === 'done')
+    ?.key.split('/')
+    .at(-1);
+  const cut = ended
+    .find((k) => (k.v as { state: string }).state !== 'done')
+    ?.key.split('/')
+    .at(-1);
+  if (done !== undefined) {
+    world.submit(job(101, { waits_on: [done] }), 'n-0');
+    assert.ok(finished(world, idOf(101)));
+  }
+  assert.ok(cut !== undefined);
+  const reply = ask(world, (d) => world.submit(job(102, { waits_on: [cut] }), 'n-1', d));
+  assert.deepEqual([reply?.status, status(reply)], [201, 'aborted']);
+  assert.ok(done !== undefined);
+});
+
+test('what this version stores can be read by the older one', () => {
+  const world = settled({ runTimeOf: (p) => 2000 + Number(p.split('/')[1]) * 30_000 });
+  for (let n = 1; n <= 4; n++) world.submit(job(n, { batch: n }), 'n-0');
+  world.run(6000);
+  world.submit(job(5, { waits_on: [A] }), 'n-0');
+  world.cancel(idOf(4), 'n-1');
+  world.run(6000);
+  const kinds = /tealdock\/(leader|owned|roster|progress|live|ended)/;
+  const older = new Map(recorded.keys.map((k) => [kinds.exec(k.key)?.[1], k.v]));
+  const seen = new Set<string>();
+  for (const [key, entry] of world.state.keys) {
+    const kind = kinds.exec(key)?.[1];
+    if (kind === undefined) continue;
+    seen.add(kind);
+    // Entries of packed tables have names of their own; one stands for all.
+    if (kind === 'roster' || kind === 'progress') {
+      const first = (v: unknown) => Object.values((v as { entries: object }).entries)[0] as unknown;
+      if (first(entry.v) !== undefined) {
+        assert.ok(readableAs(first(older.get(kind)), first(entry.v)), key);
+      }
+    } else assert.ok(readableAs(older.get(kind), entry.v), key);
+  }
+  assert.deepEqual([...seen].sort(), ['ended', 'leader', 'live', 'owned', 'progress', 'roster']);
+});
+
+// A term of the older version in between: it ends jobs without saying when, writes shards as
+// large as it may, and carries along what it does not know.
+test('leadership goes back to the older version and comes again', () => {
+  for (const pause of [300, 3000]) {
+    const world = settled({ runTimeOf: (p) => (p.startsWith(A) ? 6000 : 4000) });
+    world.submit(job(1), 'n-0');
+    world.run(1500);
+    world.submit(job(2, { waits_on: [A] }), 'n-1');
+    world.run(1500);
+    assert.ok(world.runUntil(() => world.checker.doneTasks(A).size === 2, 20_000));
+    for (const n of world.nodes) world.crash(n);
+    olderTermEnds(world, A);
+    world.run(pause);
+    for (const n of world.nodes) world.boot(n);
+    assert.ok(finished(world, idOf(2)));
+    keepsRules(world);
+  }
+});
+
+/** What the older version's commit of a job's end would leave in the state service. */
+function olderTermEnds(world: World, id: string): void {
+  const key = `tealdock/live/${id}/spec`;
+  const live = world.state.keys.get(key);
+  if (!live) return;
+  const { spec } = live.v as { spec: unknown };
+  const writes = [{ write: `tealdock/ended/${id}`, v: { state: 'done', spec } }, { delete: key }];
+  const guards = [{ key, stamp: live.stamp }];
+  world.state.handle('POST', '/commit', { guards, writes }, (r) => {
+    assert.ok(r.kind === 'answer' && r.status === 200);
+  });
+}
+
+test('nodes are replaced one after the other under load, with crashes in between', () => {
+  for (const seed of [1, 2, 3]) {
+    const world = inherited({ seed, capacity: 8, runTime: 5000 });
+    for (let i = 0; i < 4; i++) world.cloud.add(i % 2 ? 'a' : 'b');
+    world.run(5000);
+    for (let n = 101; n <= 112; n++) {
+      const waits = n > 104 ? [idOf(n - 1), idOf(n - 3)] : [];
+      world.at((n - 100) * 2500, () => {
+        const missing = () => !world.checker.accepted(idOf(n));
+        const insist = () => {
+          const node = [...world.alive.keys()][n % Math.max(1, world.alive.size)];
+          if (node && missing()) world.submit(job(n, { batch: 3, waits_on: waits }), node);
+          if (missing()) world.at(3000, insist);
+        };
+        insist();
+      });
+    }
+    for (const [i, n] of world.nodes.entries()) {
+      world.at(4000 + i * 9000, () => world.crash(n));
+      world.at(6000 + i * 9000, () => world.alive.has(n) || world.boot(n));
+      world.at(11_000 + i * 9000, () => {
+        const leader = world.leader();
+        if (leader) world.crash(leader);
+        world.at(400, () => leader && (world.alive.has(leader) || world.boot(leader)));
+      });
+    }
+    world.run(60_000);
+    world.calm();
+    for (let n = 101; n <= 112; n++) assert.ok(finished(world, idOf(n), 300_000), idOf(n));
+    keepsRules(world);
+  }
+});
