--- a/packages/testing/src/chains.test.ts
+++ b/packages/testing/src/chains.test.ts
@@ -126,6 +126,25 @@
   keepsRules(world);
 });
 
+test('the leader ends what needs a cancelled job, without being asked, and starts none of it', () => {
+  for (const away of [false, true]) {
+    const world = settled({ capacity: 4 }, 4);
+    submitted(world, 1, { expected_s: 500 });
+    for (let n = 2; n <= 12; n++) chained(world, n, n % 3 === 0 ? [1] : [n - 1], 'n-0');
+    if (away) crashLeader(world);
+    world.cancel(
+      A,
+      others(world).find((n) => world.alive.has(n))!,
+    );
+    world.run(25_000);
+    const live = [...world.state.keys.keys()].filter((k) => k.includes('/live/'));
+    assert.deepEqual(live, []);
+    for (let n = 2; n <= 12; n++) assert.ok(!begun(world, n), idOf(n));
+    for (let n = 2; n <= 12; n++) assert.equal(told(world, n, 'n-2'), 'aborted');
+    keepsRules(world);
+  }
+});
+
 test('a job submitted behind a cancelled one is accepted and is over', () => {
   const world = settled();
   submitted(world, 1, { expected_s: 500 });
