--- a/packages/controller/src/job-graph.ts
+++ b/packages/controller/src/job-graph.ts
@@ -130,7 +130,8 @@
     job.lastDone = Math.max(job.lastDone, this.steady(at ?? -Infinity));
     if (job.waitsFor.size > 0 || job.doomed) return;
     job.released = Math.max(job.submitted, job.lastDone);
-    this.rt.env.log('debug', { job: job.id }, 'job released');
+    const ago = Math.round(this.rt.now - job.released);
+    this.rt.env.log('debug', { job: job.id, ago }, 'job released');
   }
 
   private steady(at: number): Instant {
--- a/packages/testing/src/chains.test.ts
+++ b/packages/testing/src/chains.test.ts
@@ -273,6 +273,21 @@
   keepsRules(world);
 });
 
+test('the moment of release is the same for a later leader', () => {
+  const world = settled({ capacity: 1, runTimeOf: (p) => (p.startsWith(A) ? 3000 : 60_000) }, 1);
+  submitted(world, 1, { batch: 1 });
+  submitted(world, 2, { batch: 8, ...after(1) });
+  assert.ok(world.runUntil(() => begun(world, 2), 20_000));
+  world.run(20_000);
+  const from = world.log.length;
+  crashLeader(world);
+  world.run(20_000);
+  const released = world.log.slice(from).find((l) => l.message === 'job released');
+  const ago = Number(released?.fields['ago']);
+  assert.ok(ago > 20_000 && ago < 40_000, `${ago} ms ago`);
+  keepsRules(world);
+});
+
 const chainJob = (id: string, predecessors: string[], over: Partial<ChainJob> = {}): ChainJob => ({
   id,
   predecessors,
