A soak on real processes: seeded faults, users that cancel, rules checked from outside

Need: the fault of the incident and the one found beside it show only when a change of leaders, an outage and cancellations meet. The simulated cluster has them; deployed processes with real sockets, pauses and restarts had no such test.

Change: packages/testing/src/soak starts three controllers as deploy/service.toml says, with stand-ins for state service, cloud, workers and users in one process and a loopback address of its own. FakeState now forgets old changes (410), with a test of the paged read behind it.

--- a/packages/adapters/src/http-client.ts
+++ b/packages/adapters/src/http-client.ts
@@ -39,6 +39,11 @@
     });
   }
 
+  /** Closes all connections; calls under way are lost. */
+  close(): void {
+    this.agent.destroy();
+  }
+
   send(call: HttpCall, done: (result: CallResult) => void): void {
     // Addresses of workers come from outside: an impossible one must not throw.
     if (!(call.port > 0 && call.port <= MOST_PORT)) return done({ kind: 'unsent' });
--- a/packages/testing/src/fake-state.ts
+++ b/packages/testing/src/fake-state.ts
@@ -33,6 +33,8 @@
 }
 
 const MOST_TRANSACTION = 64 * 1024;
+/** The service keeps the last so many changes. */
+const MOST_CHANGES = 10_000;
 
 const sizeOf = (value: unknown): number => Buffer.byteLength(JSON.stringify(value ?? null));
 
@@ -48,12 +50,15 @@
   caps: StateCaps | null = null;
   /** Transactions that were too large. */
   refusals = 0;
+  /** So many changes can be watched from; an older revision gets 410. */
+  changesKept = MOST_CHANGES;
   /** Nodes that get 503 while all others are served; their open watches wait. */
   readonly refused = new Set<string>();
   private readonly leases = new Map<number, Lease>();
   private readonly news: News[] = [];
   private watchers: Watcher[] = [];
   private lastLease = 0;
+  private forgotten = 0;
   /** What is left of a second's worth of requests and changes. */
   private left: { rps: number; writeRps: number } | null;
   private filled = 0;
@@ -200,10 +205,17 @@
       until: this.now() + Number(query.get('hold_ms') ?? 0),
       done,
     };
+    if (watcher.after < this.forgottenTo) return done(answer(410, { error: 'too old' }));
     this.watchers.push(watcher);
     if (this.eventsFor(watcher).length > 0) this.finish(watcher);
   }
 
+  /** Changes up to this revision can't be watched any more. */
+  private get forgottenTo(): number {
+    while (this.news.length > this.changesKept) this.forgotten = this.news.shift()?.epoch ?? 0;
+    return this.forgotten;
+  }
+
   private eventsFor(w: Watcher): News['event'][] {
     return this.news
       .filter((n) => n.epoch > w.after)
--- a/packages/testing/src/fake-worker.ts
+++ b/packages/testing/src/fake-worker.ts
@@ -34,6 +34,8 @@
   nodes: string[];
   reportEvery: number;
   lease: number;
+  /** Where direct commands to a machine go. */
+  address(machine: string): string;
   runTime(piece: string): number | null;
   /** The image that a task needs, and what is fetched of it in a second; null: it is there. */
   imageOf(piece: string): { name: string; gb: number; gbPerS: number; shared: boolean } | null;
@@ -212,7 +214,7 @@
     const m = this.machine;
     return {
       host: m.id,
-      addr: `${m.id}:1`,
+      addr: this.host.address(m.id),
       flavour: m.type,
       hall: m.zone,
       spare: m.spot,
--- a/packages/testing/src/rule-checker.ts
+++ b/packages/testing/src/rule-checker.ts
@@ -79,13 +79,24 @@
     this.faultFreeSince = this.now();
   }
 
-  /** A question about a job was put to some node. */
+  /**
+   * A user puts a question about a job to some node: a submission, a poll or a cancellation. Its
+   * answer is judged by what was known when it was asked.
+   */
+  question(id: string): (status: number, body: unknown) => void {
+    const [known, final] = [this.accepted(id), this.final(id)];
+    this.asked(id);
+    return (status, body) => {
+      const state = (body as { status?: string } | null)?.status;
+      this.told(id, status, state, known, final);
+    };
+  }
+
   asked(id: string): void {
     const job = this.jobs.get(id);
     if (job) job.unanswered ??= this.now();
   }
 
-  /** An answer to a submission, a poll or a cancellation, and what was known when it was asked. */
   told(
     id: string,
     status: number,
--- /dev/null
+++ b/packages/testing/src/seeded-random.ts
@@ -0,0 +1,31 @@
+/** Random numbers that repeat with their seed. */
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import type { Random } from '@tealdock/controller';
+
+/** Uniform in [0, 1). */
+export function seededRandom(seed: number): Random {
+  const generator = xoroshiro128plus(seed);
+  return () => uniformFloat64(generator);
+}
+
+const GOLDEN_RATIO = 0x9e3779b1;
+const FIRST_DRAWS = 16;
+
+/** The same for seeds that follow each other, whose first draws would otherwise be alike. */
+export function mixedRandom(seed: number): Random {
+  const random = seededRandom(Math.imul(seed, GOLDEN_RATIO));
+  for (let i = 0; i < FIRST_DRAWS; i++) random();
+  return random;
+}
+
+/** Uniform between two bounds. */
+export const between = (random: Random, least: number, most: number): number =>
+  least + random() * (most - least);
+
+/** One of these, each as likely as any other. */
+export function pick<T>(random: Random, from: readonly T[]): T {
+  const chosen = from[Math.floor(random() * from.length)];
+  if (chosen === undefined) throw new RangeError('nothing to pick from');
+  return chosen;
+}
--- a/packages/testing/src/simulated-cluster.ts
+++ b/packages/testing/src/simulated-cluster.ts
@@ -1,6 +1,4 @@
 /** A whole cluster in one process and in simulated time. */
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import {
   packBody,
   parseOperatorSettings,
@@ -34,6 +32,7 @@
 import { FakeWorker, type WireCommands, type WorkerHost } from './fake-worker.js';
 import type { MachineRoom } from './machine-room.js';
 import { RuleChecker } from './rule-checker.js';
+import { seededRandom } from './seeded-random.js';
 
 const STEP = 50;
 const HALF_TRIP = 5;
@@ -104,8 +103,7 @@
     this.times = options.times ?? USUAL_TIMES;
     this.reportEvery = this.times.reportEvery;
     this.lease = this.times.lease;
-    const generator = xoroshiro128plus(options.seed ?? 1);
-    this.random = () => uniformFloat64(generator);
+    this.random = seededRandom(options.seed ?? 1);
     this.state = new FakeState(() => this.clock, options.limits);
     this.state.caps = this.caps();
     this.cloud = new FakeCloud(
@@ -453,6 +451,10 @@
     if (node) this.push(node, { kind: 'refused', member: to });
   }
 
+  address(machine: string): string {
+    return `${machine}:1`;
+  }
+
   runTime(piece: string): number | null {
     const spec = this.jobs.get(piece.split('/')[0]!);
     const own = this.options.runTimeOf?.(piece);
@@ -544,16 +546,12 @@
     id: string,
     done?: (reply: Reply | null) => void,
   ): void {
-    const [known, final] = [this.checker.accepted(id), this.checker.final(id)];
-    this.checker.asked(id);
+    const answered = this.checker.question(id);
     const line = this.alive.get(node)?.sockets.ask(`user of ${id}`, 'user');
     if (line === 'turned away') return done?.({ status: 503, body: {}, retryAfter: 1000 });
     this.ask(node, 'public', method, path, packBody(body), (reply) => {
       line?.answered();
-      if (reply) {
-        const state = (reply.body as { status?: string } | null)?.status;
-        this.checker.told(id, reply.status, state, known, final);
-      }
+      if (reply) answered(reply.status, reply.body);
       done?.(reply);
     });
   }
--- a/packages/testing/src/smoke.ts
+++ b/packages/testing/src/smoke.ts
@@ -5,53 +5,25 @@
 import assert from 'node:assert/strict';
 import { spawn, spawnSync } from 'node:child_process';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
-import { createServer, type Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { packBody, unpackBody } from '@tealdock/wire';
-import type { CallResult } from '@tealdock/controller';
 import { HttpClient } from '@tealdock/adapters';
 import { FakeCloud, FakeState, job } from './index.js';
+import { LOOPBACK } from './soak/loopback.js';
+import { closeStandIn, freePort, serveStandIn } from './soak/stand-in-server.js';
 
 const BUNDLE = 'target/main.cjs';
 const PATIENCE = 20_000;
 
-type Handler = (method: string, path: string, body: unknown, done: (r: CallResult) => void) => void;
-
-function serve(handle: Handler): Promise<Server> {
-  const server = createServer((req, res) => {
-    const chunks: Buffer[] = [];
-    req.on('data', (chunk: Buffer) => chunks.push(chunk));
-    req.on('end', () => {
-      const body = chunks.length > 0 ? unpackBody(Buffer.concat(chunks)) : null;
-      handle(req.method ?? '', req.url ?? '', body, (r) => {
-        res.statusCode = r.kind === 'answer' ? r.status : 503;
-        res.end(packBody(r.kind === 'answer' ? r.body : null));
-      });
-    });
-  });
-  return new Promise((resolve) => server.listen(0, '127.0.0.1', () => resolve(server)));
-}
-
-const portOf = (server: Server): number => (server.address() as AddressInfo).port;
-
-async function freePort(): Promise<number> {
-  const server = await serve(() => undefined);
-  const port = portOf(server);
-  await new Promise((resolve) => server.close(resolve));
-  return port;
-}
-
 function settingsText(ports: { http: number; peer: number; state: number; cloud: number }): string {
   return [
     'member = "n-0"',
     'zone = "a"',
-    `public_addr = "127.0.0.1:${ports.http}"`,
-    `cluster_listen = "127.0.0.1:${ports.peer}"`,
+    `public_addr = "${LOOPBACK}:${ports.http}"`,
+    `cluster_listen = "${LOOPBACK}:${ports.peer}"`,
     '[external]',
-    `cloud = "127.0.0.1:${ports.cloud}"`,
-    `state = "127.0.0.1:${ports.state}"`,
+    `cloud = "${LOOPBACK}:${ports.cloud}"`,
+    `state = "${LOOPBACK}:${ports.state}"`,
     '[settings]',
     'zones = ["a", "b"]',
     '[[settings.teams]]',
@@ -68,7 +40,7 @@
 
 function healthy(port: number): Promise<boolean> {
   const client = new HttpClient(1);
-  const call = { host: '127.0.0.1', port, method: 'GET', path: '/healthz', body: null };
+  const call = { host: LOOPBACK, port, method: 'GET', path: '/healthz', body: null };
   return new Promise((resolve) =>
     client.send({ ...call, timeout: 1000 }, (r) =>
       resolve(r.kind === 'answer' && r.status === 200),
@@ -122,33 +94,32 @@
   const folder = mkdtempSync(join(tmpdir(), 'tealdock-smoke-'));
   const now = () => performance.now();
   const [state, cloud] = [new FakeState(now), new FakeCloud(now, 0, () => undefined)];
-  const stateServer = await serve((method, path, body, done) =>
+  const stateServer = await serveStandIn((method, path, body, done) =>
     state.handle(method, path, body, done),
   );
-  const cloudServer = await serve((_method, path, body, done) => done(cloud.handle(path, body)));
+  const cloudServer = await serveStandIn((_method, path, body, done) =>
+    done(cloud.handle(path, body)),
+  );
   const clock = setInterval(() => state.tick(), 50);
   const ports = {
     http: await freePort(),
     peer: await freePort(),
-    state: portOf(stateServer),
-    cloud: portOf(cloudServer),
+    state: stateServer.port,
+    cloud: cloudServer.port,
   };
   const file = join(folder, 'node.toml');
   writeFileSync(file, settingsText(ports));
   const node = spawn(process.execPath, [BUNDLE, 'serve', '--config', file], { stdio: 'ignore' });
   try {
     await waitHealthy(ports.http);
-    await commandsWork(`127.0.0.1:${ports.http}`, folder);
+    await commandsWork(`${LOOPBACK}:${ports.http}`, folder);
     settingsAreChecked(folder);
     process.stdout.write('smoke: the built service starts, answers and checks its settings\n');
   } finally {
     node.kill('SIGKILL');
     clearInterval(clock);
     rmSync(folder, { recursive: true });
-    for (const server of [stateServer, cloudServer]) {
-      server.closeAllConnections();
-      server.close();
-    }
+    for (const server of [stateServer, cloudServer]) closeStandIn(server);
   }
 }
 
--- /dev/null
+++ b/packages/testing/src/soak/users.ts
@@ -0,0 +1,197 @@
+/** Users of a soak: they submit, repeat, ask and cancel at all nodes, until each job has ended. */
+import { parseSubmission, type Duration, type Instant } from '@tealdock/wire';
+import { HttpClient } from '@tealdock/adapters';
+import type { CallResult, Random } from '@tealdock/controller';
+import { between, pick } from '../seeded-random.js';
+import { job } from '../small-job.js';
+import type { LoopbackSite } from './loopback-site.js';
+import { NODES } from './site-times.js';
+import { LOOPBACK } from './loopback.js';
+
+const SUBMIT_TIMEOUT: Duration = 5000;
+const POLL_TIMEOUT: Duration = 2000;
+const RETRY: Duration = 1000;
+const POLL_EVERY: Duration = 60;
+const SOCKETS = 64;
+/** Part of all jobs that users cancel, and part of all answers that make them ask once more. */
+const CANCELLED_PART = 0.5;
+/** They would run for longer than a cancellation may take, in s. */
+const UNWANTED_RUN_TIMES: Range = [40, 70];
+const CANCELLED_AFTER: Range = [0, 25_000];
+const REPEATED_PART = 0.2;
+
+type Range = [least: number, most: number];
+
+/** How much the users do. */
+export interface Load {
+  /** Run times of tasks, in s. */
+  runTimes: Range;
+  /** Submissions per second, and the most tasks of one. */
+  submissions: number;
+  tasks: number;
+}
+
+/** What the users were told. */
+export interface UserCounts {
+  accepted: number;
+  answers: number;
+  unanswered: number;
+}
+
+/** Puts the load on a site. Ids come in order here; nothing depends on it. */
+export class SoakUsers {
+  readonly counts: UserCounts = { accepted: 0, answers: 0, unanswered: 0 };
+  private readonly client = new HttpClient(SOCKETS);
+  /** When users were first told that a job is cancelled. */
+  readonly cancelledAt = new Map<string, Instant>();
+  private readonly wanted = new Set<string>();
+  private readonly timers = new Set<NodeJS.Timeout>();
+  private submitting = true;
+  private last = 0;
+  private closed = false;
+
+  constructor(
+    private readonly site: LoopbackSite,
+    private readonly random: Random,
+    private readonly load: Load,
+  ) {}
+
+  start(): void {
+    this.submitNext();
+    this.pollNext();
+  }
+
+  stopSubmitting(): void {
+    this.submitting = false;
+  }
+
+  close(): void {
+    this.closed = true;
+    for (const timer of this.timers) clearTimeout(timer);
+  }
+
+  /** Accepted jobs that no user has been told the end of. */
+  open(): string[] {
+    return [...this.wanted].filter((id) => this.site.checker.final(id) === null);
+  }
+
+  /** Jobs that users were told are cancelled. */
+  cancelled(): number {
+    return [...this.wanted].filter((id) => this.site.checker.final(id) === 'aborted').length;
+  }
+
+  /** Users call off jobs that run, at any node. */
+  cancelSome(count: number): void {
+    const running = this.site.workers.runningJobs();
+    const open = this.open().filter((id) => running.has(id));
+    for (const id of open.slice(0, count)) this.cancel(id);
+  }
+
+  /** Asks every node about every job. */
+  async askAll(): Promise<void> {
+    for (const node of NODES) {
+      await Promise.all([...this.wanted].map((id) => this.poll(id, node)));
+    }
+  }
+
+  private submitNext(): void {
+    if (!this.submitting) return;
+    const id = ++this.last;
+    const unwanted = this.random() < CANCELLED_PART;
+    const runTimes = unwanted ? UNWANTED_RUN_TIMES : this.load.runTimes;
+    const body = job(id, {
+      batch: Math.ceil(this.random() * this.load.tasks),
+      expected_s: between(this.random, ...runTimes),
+      urgency: pick(this.random, ['normal', 'idle', 'urgent']),
+    });
+    this.submit(body, unwanted);
+    this.later((1000 / this.load.submissions) * between(this.random, 0.3, 1.7), () =>
+      this.submitNext(),
+    );
+  }
+
+  private submit(body: Record<string, unknown>, unwanted: boolean): void {
+    const spec = parseSubmission(body);
+    if (!this.site.jobs.has(spec.id)) {
+      this.site.jobs.set(spec.id, spec);
+      this.site.checker.submitted(spec);
+    }
+    void this.ask('POST', '/api/jobs', body, spec.id, SUBMIT_TIMEOUT).then((status) => {
+      if (status !== 200 && status !== 201)
+        return this.later(RETRY, () => this.submit(body, unwanted));
+      if (!this.wanted.has(spec.id)) this.accepted(spec.id, unwanted);
+      if (this.random() < REPEATED_PART) this.later(RETRY, () => this.submit(body, unwanted));
+    });
+  }
+
+  private accepted(id: string, unwanted: boolean): void {
+    this.wanted.add(id);
+    this.counts.accepted++;
+    if (unwanted) this.later(between(this.random, ...CANCELLED_AFTER), () => this.cancel(id));
+  }
+
+  private cancel(id: string): void {
+    void this.ask('POST', `/api/jobs/${id}/cancel`, null, id, SUBMIT_TIMEOUT).then((status) => {
+      if (status !== 200) return this.later(RETRY, () => this.cancel(id));
+      if (this.site.checker.final(id) === 'aborted' && !this.cancelledAt.has(id))
+        this.cancelledAt.set(id, performance.now());
+      if (this.random() < REPEATED_PART)
+        this.later(RETRY, () => void this.poll(id, this.anyNode()));
+    });
+  }
+
+  private pollNext(): void {
+    const asked = this.random() < REPEATED_PART ? [...this.wanted] : this.open();
+    if (asked.length > 0) void this.poll(pick(this.random, asked), this.anyNode());
+    this.later(POLL_EVERY, () => this.pollNext());
+  }
+
+  private poll(id: string, node: string): Promise<number | null> {
+    return this.ask('GET', `/api/jobs/${id}`, null, id, POLL_TIMEOUT, node);
+  }
+
+  /** Status of the answer; null where none came. */
+  private async ask(
+    method: string,
+    path: string,
+    body: unknown,
+    id: string,
+    timeout: Duration,
+    node: string = this.anyNode(),
+  ): Promise<number | null> {
+    const answered = this.site.checker.question(id);
+    const result = await this.send(method, path, body, timeout, node);
+    if (result.kind !== 'answer') {
+      this.counts.unanswered++;
+      return null;
+    }
+    this.counts.answers++;
+    answered(result.status, result.body);
+    return result.status;
+  }
+
+  private send(
+    method: string,
+    path: string,
+    body: unknown,
+    timeout: Duration,
+    node: string,
+  ): Promise<CallResult> {
+    const port = this.site.httpPorts.get(node) ?? 0;
+    const call = { host: LOOPBACK, port, method, path, body, timeout };
+    return new Promise((resolve) => this.client.send(call, resolve));
+  }
+
+  private anyNode(): string {
+    return pick(this.random, NODES);
+  }
+
+  private later(delay: Duration, run: () => void): void {
+    if (this.closed) return;
+    const timer = setTimeout(() => {
+      this.timers.delete(timer);
+      run();
+    }, delay);
+    this.timers.add(timer);
+  }
+}
--- /dev/null
+++ b/packages/testing/src/soak/worker-host.ts
@@ -0,0 +1,198 @@
+/** Workers of a soak: they report over real connections, and are commanded over their own. */
+import type { CallResult } from '@tealdock/controller';
+import { HttpClient } from '@tealdock/adapters';
+import type { Duration, Instant, JobSpec } from '@tealdock/wire';
+import type { CloudMachine } from '../fake-cloud.js';
+import { FakeWorker, type WireCommands, type WorkerHost, type WorkerTask } from '../fake-worker.js';
+import type { RuleChecker } from '../rule-checker.js';
+import { closeStandIn, serveStandIn, type Listening } from './stand-in-server.js';
+import { NODES, type SiteTimes } from './site-times.js';
+import { LOOPBACK } from './loopback.js';
+
+/** Longer than a worker waits, so that it is the worker that gives up. */
+const CALL_TIMEOUT: Duration = 8000;
+
+/** What befalls the traffic of one machine. */
+export interface MachineFaults {
+  /** Reports leave, and no answer comes. */
+  answersLost: boolean;
+  /** Reports don't leave. */
+  reportsLost: boolean;
+  /** No connection for a report can be opened. */
+  reportsRefused: boolean;
+  /** Direct commands arrive only after this is over, in order. */
+  commandsHeld: boolean;
+  /** What an answer takes beyond the usual. */
+  answerDelay: Duration;
+}
+
+const NO_FAULTS: MachineFaults = {
+  answersLost: false,
+  reportsLost: false,
+  reportsRefused: false,
+  commandsHeld: false,
+  answerDelay: 0,
+};
+
+interface SoakMachine {
+  worker: FakeWorker;
+  server: Listening;
+  client: HttpClient;
+  faults: MachineFaults;
+  heldCommands: (() => void)[];
+}
+
+const jobOf = (piece: string): string => piece.split('/')[0] ?? '';
+
+/** Carries the reports and commands of all workers, and tells the checker what runs where. */
+export class SoakWorkers implements WorkerHost {
+  readonly nodes = [...NODES];
+  readonly reportEvery: Duration;
+  readonly lease: Duration;
+  /** How long reports waited for their answers. */
+  readonly answerTimes: Duration[] = [];
+  /** When the last task of each job left its machine. */
+  readonly lastEnded = new Map<string, Instant>();
+  private readonly machines = new Map<string, SoakMachine>();
+  private readonly starting = new Set<string>();
+
+  constructor(
+    readonly now: () => Instant,
+    times: SiteTimes,
+    private readonly checker: RuleChecker,
+    private readonly jobs: ReadonlyMap<string, JobSpec>,
+    private readonly ports: ReadonlyMap<string, number>,
+    private readonly runTimeOf: (job: JobSpec) => Duration,
+  ) {
+    this.reportEvery = times.reportEvery;
+    this.lease = times.lease;
+  }
+
+  get names(): string[] {
+    return [...this.machines.keys()];
+  }
+
+  get running(): number {
+    return this.runningTasks().length;
+  }
+
+  /** Jobs of which a task runs. */
+  runningJobs(): Set<string> {
+    return new Set(this.runningTasks().map((t) => jobOf(t.piece)));
+  }
+
+  private runningTasks(): WorkerTask[] {
+    const all = [...this.machines.values()].flatMap(({ worker }) => worker.tasks);
+    return all.filter((t) => t.status === 'running');
+  }
+
+  worker(machine: string): FakeWorker | undefined {
+    return this.machines.get(machine)?.worker;
+  }
+
+  async start(machine: CloudMachine): Promise<void> {
+    if (this.machines.has(machine.id) || this.starting.has(machine.id)) return;
+    this.starting.add(machine.id);
+    const server = await serveStandIn((method, path, body, done) => {
+      if (method === 'POST' && path === '/commands') this.command(machine.id, body, done);
+      else done({ kind: 'answer', status: 404, body: {} });
+    });
+    this.machines.set(machine.id, {
+      worker: new FakeWorker(this, machine),
+      server,
+      client: new HttpClient(1),
+      faults: { ...NO_FAULTS },
+      heldCommands: [],
+    });
+  }
+
+  /** The machine and all on it are gone. */
+  drop(id: string): void {
+    const machine = this.machines.get(id);
+    if (!machine) return;
+    for (const t of machine.worker.tasks)
+      if (t.status === 'running') this.ended(t.piece, id, 'gone');
+    machine.worker.gone = true;
+    this.machines.delete(id);
+    machine.client.close();
+    closeStandIn(machine.server);
+  }
+
+  tick(): void {
+    for (const { worker } of this.machines.values()) worker.tick();
+  }
+
+  fault(id: string, faults: Partial<MachineFaults>): void {
+    const machine = this.machines.get(id);
+    if (!machine) return;
+    Object.assign(machine.faults, faults);
+    if (!machine.faults.commandsHeld) for (const go of machine.heldCommands.splice(0)) go();
+  }
+
+  endFaults(): void {
+    for (const [id, { worker }] of this.machines) {
+      this.fault(id, NO_FAULTS);
+      worker.hanging = false;
+    }
+  }
+
+  close(): void {
+    for (const id of this.names) this.drop(id);
+  }
+
+  private command(id: string, body: unknown, done: (result: CallResult) => void): void {
+    const machine = this.machines.get(id);
+    if (!machine) return done({ kind: 'lost' });
+    const carryOut = () => machine.worker.commands(body as WireCommands, done);
+    if (machine.faults.commandsHeld) machine.heldCommands.push(carryOut);
+    else carryOut();
+  }
+
+  // --- what a worker asks of its host ------------------------------------------
+
+  address(machine: string): string {
+    return `${LOOPBACK}:${this.machines.get(machine)?.server.port ?? 1}`;
+  }
+
+  carry(worker: FakeWorker, node: string, body: unknown, done: (r: CallResult) => void): void {
+    const machine = this.machines.get(worker.machine.id);
+    const port = this.ports.get(node);
+    if (!machine || port === undefined || machine.faults.reportsLost) return;
+    if (machine.faults.reportsRefused) return done({ kind: 'unsent' });
+    const sent = this.now();
+    const call = { host: LOOPBACK, port, method: 'POST', path: '/hello', body };
+    machine.client.send({ ...call, timeout: CALL_TIMEOUT }, (result) => {
+      if (machine.faults.answersLost) return;
+      this.answerTimes.push(this.now() - sent);
+      if (machine.faults.answerDelay === 0) done(result);
+      else setTimeout(() => done(result), machine.faults.answerDelay);
+    });
+  }
+
+  hangUp(worker: FakeWorker): void {
+    const machine = this.machines.get(worker.machine.id);
+    machine?.client.close();
+  }
+
+  runTime(piece: string): number | null {
+    const job = this.jobs.get(jobOf(piece));
+    return job ? this.runTimeOf(job) : null;
+  }
+
+  imageOf(): null {
+    return null;
+  }
+
+  fails(): boolean {
+    return false;
+  }
+
+  started(piece: string, machine: string): void {
+    this.checker.started(piece, machine);
+  }
+
+  ended(piece: string, machine: string, reason: string): void {
+    this.lastEnded.set(jobOf(piece), this.now());
+    this.checker.ended(piece, machine, reason);
+  }
+}
--- /dev/null
+++ b/packages/testing/src/watch-gap.test.ts
@@ -0,0 +1,48 @@
+import assert from 'node:assert/strict';
+import { job } from './index.js';
+import { busy, onEachDeployment } from './deployments.js';
+import { cancelled, endsWell, idOf, others } from './scenario.js';
+
+const PAGE = 200;
+/** More live jobs than one page holds. */
+const MANY = PAGE + 60;
+const LAST = 1000 + MANY;
+
+// Guarded against: a leader whose watch has fallen too far behind reads all live jobs page by
+// page. Jobs cancelled before and during that read must be known as soon as it may answer.
+onEachDeployment(
+  'a leader whose watch is too old reads the live jobs anew and knows what is cancelled',
+  (times) => {
+    const cluster = busy(times, 2, 4, { expected_s: 400 }, { cpuLimit: 8 });
+    const leader = cluster.leader()!;
+    // They find no room: the team is at its limit.
+    for (let n = 1001; n <= LAST; n++) {
+      cluster.submit(job(n, { batch: 1 }), cluster.nodes[n % 3]!);
+      cluster.run(50);
+    }
+    // Nobody tells it, while the others hear that it is there.
+    for (const node of others(cluster)) cluster.cuts.add(`${node}>${leader}`);
+    let pages = 0;
+    cluster.stateFault = (node, call) => {
+      if (node === leader && call.path.startsWith('/changes')) return 'lost_before';
+      return undefined;
+    };
+    cluster.run(2500);
+    cluster.state.changesKept = 5;
+    cancelled(cluster, 1, others(cluster)[0]!);
+    for (let n = 1001; n <= 1010; n++) cluster.cancel(idOf(n), others(cluster)[1]!);
+    cluster.stateFault = (node, call) => {
+      if (node !== leader || !call.path.startsWith('/keys?starts=tealdock/live')) return undefined;
+      // Cancelled once the first page has been read, which still shows it.
+      if (++pages === 2) cluster.cancel(idOf(2), others(cluster)[0]!);
+      return undefined;
+    };
+    cluster.run(10_000);
+    assert.ok(pages >= 2, `${pages} pages read`);
+    assert.equal(cluster.leader(), leader);
+    cluster.state.changesKept = 10_000;
+    cluster.run(times.cancelWithin);
+    for (let n = 1011; n <= LAST; n++) cluster.cancel(idOf(n), cluster.nodes[n % 3]!);
+    endsWell(cluster, [1, 2, 1001, LAST]);
+  },
+);
