--- a/packages/testing/src/soak/scale.ts
+++ b/packages/testing/src/soak/scale.ts
@@ -1,5 +1,5 @@
 /** Measures a large fleet: `node packages/testing/dist/soak/scale.js 400 1400 4000`. */
-import { readFileSync } from 'node:fs';
+import { existsSync, readFileSync } from 'node:fs';
 import type { Duration } from '@tealdock/wire';
 import { seededRandom } from '../seeded-random.js';
 import { LoopbackSite } from './loopback-site.js';
@@ -25,8 +25,9 @@
   peakMb: number;
 }
 
-/** By the operating system's own account of the process. */
-function usageOf(pid: number): Usage {
+/** By the operating system's own account of the process; null once it has ended. */
+function usageOf(pid: number): Usage | null {
+  if (!existsSync(`/proc/${pid}`)) return null;
   const fields = readFileSync(`/proc/${pid}/stat`, 'utf8')
     .replace(/^.*\) /s, '')
     .split(' ');
@@ -135,10 +136,11 @@
     const perSecond: number[] = [];
     let before = usageOf(pid);
     const end = performance.now() + lasts;
-    while (performance.now() < end) {
+    while (before && performance.now() < end) {
       const from = performance.now();
       await pause(SAMPLE_EVERY);
       const now = usageOf(pid);
+      if (!now) break;
       perSecond.push(((now.cpuSeconds - before.cpuSeconds) * 1000) / (performance.now() - from));
       before = now;
     }
@@ -146,7 +148,7 @@
     const percent = (part: number) => `${Math.round(part * 100)}%`;
     this.say(
       `${when}: leader takes ${percent(mean)} of a core, ${percent(Math.max(...perSecond))} ` +
-        `in its busiest second, ${before.peakMb} MB at the most; ${this.site.workers.running} tasks run`,
+        `in its busiest second, ${before?.peakMb ?? 0} MB at the most; ${this.site.workers.running} tasks run`,
     );
   }
 
