Soak: controllers listen on ports that no stand-in can take

A port that had been found free was given out again to a worker's server before its controller listened, or while it was away, and that server answered users with 404. A fault of the test, not of tealdock.

Change: controllers listen on fixed ports of the run's own loopback address, below those that are given out. scale says why a leader's process has ended.

--- a/packages/testing/src/smoke.ts
+++ b/packages/testing/src/smoke.ts
@@ -10,7 +10,8 @@
 import { HttpClient } from '@tealdock/adapters';
 import { FakeCloud, FakeState, job } from './index.js';
 import { LOOPBACK } from './soak/loopback.js';
-import { closeStandIn, freePort, serveStandIn } from './soak/stand-in-server.js';
+import { listenPortsOf } from './soak/site-times.js';
+import { closeStandIn, serveStandIn } from './soak/stand-in-server.js';
 
 const BUNDLE = 'target/main.cjs';
 const PATIENCE = 20_000;
@@ -102,8 +103,7 @@
   );
   const clock = setInterval(() => state.tick(), 50);
   const ports = {
-    http: await freePort(),
-    peer: await freePort(),
+    ...listenPortsOf('n-0'),
     state: stateServer.port,
     cloud: cloudServer.port,
   };
--- a/packages/testing/src/soak/loopback-site.ts
+++ b/packages/testing/src/soak/loopback-site.ts
@@ -10,19 +10,14 @@
 import { ControllerProcess } from './controller-process.js';
 import {
   NODES,
+  listenPortsOf,
   operatorSettings,
   platformSettings,
   type NodeName,
   type NodePorts,
   type SiteTimes,
 } from './site-times.js';
-import {
-  closeStandIn,
-  freePort,
-  serveStandIn,
-  type Handler,
-  type Listening,
-} from './stand-in-server.js';
+import { closeStandIn, serveStandIn, type Handler, type Listening } from './stand-in-server.js';
 import { TcpLink } from './tcp-link.js';
 import { SoakWorkers } from './worker-host.js';
 
@@ -173,7 +168,7 @@
     const state = await this.serve((method, path, body, done) =>
       this.askState(name, method, path, body, done),
     );
-    return { http: await freePort(), peer: await freePort(), state, links: new Map() };
+    return { ...listenPortsOf(name), state, links: new Map() };
   }
 
   private async link(from: NodeName, to: NodeName, peer: number): Promise<number> {
--- a/packages/testing/src/soak/scale.ts
+++ b/packages/testing/src/soak/scale.ts
@@ -140,7 +140,10 @@
       const from = performance.now();
       await pause(SAMPLE_EVERY);
       const now = usageOf(pid);
-      if (!now) break;
+      if (!now) {
+        this.say(`${when}: the leader's process ended: ${this.site.faults.join('; ')}`);
+        break;
+      }
       perSecond.push(((now.cpuSeconds - before.cpuSeconds) * 1000) / (performance.now() - from));
       before = now;
     }
--- a/packages/testing/src/soak/site-times.ts
+++ b/packages/testing/src/soak/site-times.ts
@@ -33,6 +33,19 @@
 /** Where the controllers of a site live. */
 const ZONE_OF: Record<NodeName, string> = { 'n-0': 'a', 'n-1': 'b', 'n-2': 'a' };
 
+/**
+ * Controllers listen on ports that are never given out as free ones: a worker's server that
+ * took one while its controller is away would answer in its place. The address is the run's own.
+ */
+const FIRST_HTTP_PORT = 8080;
+const FIRST_PEER_PORT = 9080;
+
+/** Where a controller listens. */
+export function listenPortsOf(name: NodeName): Pick<NodePorts, 'http' | 'peer'> {
+  const index = NODES.indexOf(name);
+  return { http: FIRST_HTTP_PORT + index, peer: FIRST_PEER_PORT + index };
+}
+
 /** Ports of one controller and of what it is told to use. */
 export interface NodePorts {
   http: number;
--- a/packages/testing/src/soak/stand-in-server.ts
+++ b/packages/testing/src/soak/stand-in-server.ts
@@ -43,13 +43,6 @@
   return { server, port: (server.address() as AddressInfo).port };
 }
 
-/** A port that nobody listens on at the moment. */
-export async function freePort(): Promise<number> {
-  const { server, port } = await serveStandIn(() => undefined);
-  await new Promise((resolve) => server.close(resolve));
-  return port;
-}
-
 /** Ends a stand-in with all its connections. */
 export function closeStandIn({ server }: Listening): void {
   server.closeAllConnections();
