The simulated cluster's events and free rooms in modules of their own

Change: the queue of simulated events, and what is free on machines, stand apart; behaviour as before.

--- a/packages/testing/src/machine-room.ts
+++ b/packages/testing/src/machine-room.ts
@@ -1,5 +1,7 @@
 /** What is free on a machine, seen from outside. */
 import type { JobSpec } from '@tealdock/wire';
+import { TYPE } from './fake-cloud.js';
+import type { FakeWorker } from './fake-worker.js';
 
 /** What is free on a machine. */
 export interface MachineRoom {
@@ -10,6 +12,30 @@
   memoryGb: number;
 }
 
+/** What is free on each machine that works, by what is on it. */
+export function roomsOf(
+  workers: Iterable<FakeWorker>,
+  jobs: ReadonlyMap<string, JobSpec>,
+): MachineRoom[] {
+  const rooms: MachineRoom[] = [];
+  for (const worker of workers) {
+    if (!worker.hanging && worker.warning === null) rooms.push(roomOf(worker, jobs));
+  }
+  return rooms;
+}
+
+function roomOf({ machine, tasks }: FakeWorker, jobs: ReadonlyMap<string, JobSpec>): MachineRoom {
+  const present = tasks.filter((t) => t.status !== 'exited');
+  const specs = present.flatMap((t) => jobs.get(t.piece.split('/')[0] ?? '') ?? []);
+  return {
+    type: machine.type,
+    zone: machine.zone,
+    spot: machine.spot,
+    cpus: specs.reduce((left, spec) => left - spec.cpus, TYPE.cpus),
+    memoryGb: specs.reduce((left, spec) => left - spec.memoryGb, TYPE.mem_gb),
+  };
+}
+
 /** Whether a task of the job may run in what is free on the machine. */
 export function fitsInto(spec: JobSpec, room: MachineRoom): boolean {
   const allowed =
--- a/packages/testing/src/simulated-cluster.ts
+++ b/packages/testing/src/simulated-cluster.ts
@@ -26,11 +26,12 @@
   type DeploymentTimes,
 } from './cluster-options.js';
 import { CutNetwork } from './cut-network.js';
-import { FakeCloud, TYPE } from './fake-cloud.js';
+import { EventQueue } from './event-queue.js';
+import { FakeCloud } from './fake-cloud.js';
 import { FakeSockets } from './fake-sockets.js';
 import { FakeState, type StateCaps } from './fake-state.js';
 import { FakeWorker, type WireCommands, type WorkerHost } from './fake-worker.js';
-import type { MachineRoom } from './machine-room.js';
+import { roomsOf } from './machine-room.js';
 import { RuleChecker } from './rule-checker.js';
 import { seededRandom } from './seeded-random.js';
 
@@ -57,12 +58,6 @@
   gates: CallGates | null;
 }
 
-interface Event {
-  at: number;
-  order: number;
-  run: () => void;
-}
-
 /** Everything in memory and in simulated time: nodes, workers, state, cloud, network. */
 export class SimulatedCluster extends CutNetwork implements WorkerHost {
   readonly nodes = NODES;
@@ -94,8 +89,7 @@
   /** Direct commands that reached a machine. */
   commands = 0;
   private clock = 0;
-  private events: Event[] = [];
-  private order = 0;
+  private readonly events = new EventQueue(() => this.clock);
   private lives = 0;
 
   constructor(readonly options: ClusterOptions = {}) {
@@ -130,7 +124,7 @@
     const end = this.clock + duration;
     while (this.clock < end) {
       this.clock += STEP;
-      this.runEvents();
+      this.events.runDue();
       this.state.tick();
       this.bootWorkers();
       for (const worker of this.workers.values()) worker.tick();
@@ -139,7 +133,8 @@
         this.turn(node);
       }
       this.checker.check();
-      if (this.clock % LOOK_EVERY === 0) this.checker.checkRooms(this.rooms());
+      if (this.clock % LOOK_EVERY === 0)
+        this.checker.checkRooms(roomsOf(this.workers.values(), this.jobs));
     }
   }
 
@@ -151,13 +146,7 @@
   }
 
   at(delay: number, run: () => void): void {
-    this.events.push({ at: this.clock + delay, order: this.order++, run });
-  }
-
-  private runEvents(): void {
-    const due = this.events.filter((e) => e.at <= this.clock);
-    this.events = this.events.filter((e) => e.at > this.clock);
-    for (const event of due.sort((a, b) => a.at - b.at || a.order - b.order)) event.run();
+    this.events.after(delay, run);
   }
 
   // --- nodes -----------------------------------------------------------------
@@ -424,23 +413,6 @@
     this.checker.noteFaultsEnded();
   }
 
-  /** What is free on each machine that works, by what is on it. */
-  private rooms(): MachineRoom[] {
-    const rooms: MachineRoom[] = [];
-    for (const { machine, tasks, hanging, warning } of this.workers.values()) {
-      if (hanging || warning !== null) continue;
-      let cpus = TYPE.cpus;
-      let memoryGb = TYPE.mem_gb;
-      for (const t of tasks) {
-        const spec = t.status === 'exited' ? undefined : this.jobs.get(t.piece.split('/')[0]!);
-        cpus -= spec?.cpus ?? 0;
-        memoryGb -= spec?.memoryGb ?? 0;
-      }
-      rooms.push({ type: machine.type, zone: machine.zone, spot: machine.spot, cpus, memoryGb });
-    }
-    return rooms;
-  }
-
   protected machineNames(): Iterable<string> {
     return this.workers.keys();
   }
