--- a/review/lib/http.mjs
+++ b/review/lib/http.mjs
@@ -4,7 +4,8 @@
 import net from 'node:net';
 import { decode, encode } from '@msgpack/msgpack';
 
-export const HOST = '127.0.0.1';
+/** The loopback address of this test, so that tests which run at the same time do not meet. */
+export const HOST = `127.${64 + ((process.pid >> 16) & 63)}.${(process.pid >> 8) & 255}.${process.pid & 255}`;
 export const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 
 export const pack = (value) => {
@@ -12,16 +13,19 @@
   return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
 };
 
-/** Finds ports that nothing listens on. */
+/** Finds ports that nothing listens on, below those that outgoing connections get. */
 export async function freePorts(count) {
-  const servers = [];
-  for (let i = 0; i < count; i++) {
+  const ports = [];
+  for (let port = 10_000 + Math.floor(Math.random() * 15_000); ports.length < count; port++) {
     const server = net.createServer();
-    await new Promise((resolve) => server.listen(0, HOST, resolve));
-    servers.push(server);
+    const isFree = await new Promise((resolve) => {
+      server.once('error', () => resolve(false));
+      server.listen(port, HOST, () => resolve(true));
+    });
+    if (!isFree) continue;
+    ports.push(port);
+    await new Promise((resolve) => server.close(resolve));
   }
-  const ports = servers.map((server) => server.address().port);
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
   return ports;
 }
 
--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -12,6 +12,9 @@
 
 const ROOT = join(dirname(fileURLToPath(import.meta.url)), '..', '..');
 
+/** A script may run for 120 s. */
+const LONGEST_RUN_MS = 118_000;
+
 /** The command of the deploy file, without the settings file. */
 function deployedCommand() {
   const text = readFileSync(join(ROOT, 'deploy', 'service.toml'), 'utf8');
@@ -348,6 +351,11 @@
 export async function runCase(folder, site, play) {
   const record = join(folder, 'record.txt');
   let code = 2;
+  const watchdog = setTimeout(() => {
+    site.note({ result: 'could not run', error: 'out of time' });
+    site.finish(record);
+    process.exit(2);
+  }, LONGEST_RUN_MS);
   try {
     await site.start();
     const broken = await play(site);
@@ -358,6 +366,7 @@
     site.note({ result: 'could not run', error: String(error) });
     process.stdout.write(`could not run: ${error.stack}\n`);
   }
+  clearTimeout(watchdog);
   site.finish(record);
   process.exit(code);
 }
