Test run: a known-red script outside the run is printed as known, not run

Cause: KNOWN-RED.txt refused an entry for a script that the test run does not start, since a listed test that did not fail counts as outdated; so a fault shown only by such a script could not be listed. Change: an entry whose test is the path of an existing file outside the packages, and no test of the run, is printed as known and not run. A name that is neither a failed test nor such a file still fails the run, as does a listed test that passes.

--- a/packages/testing/src/run-tests.ts
+++ b/packages/testing/src/run-tests.ts
@@ -21,21 +21,23 @@
 }
 
 const known = existsSync(KNOWN_RED_PATH) ? parseKnownRed(readFileSync(KNOWN_RED_PATH, 'utf8')) : [];
+const passed = new Set<string>();
 const failed = new Set<string>();
-let passedCount = 0;
 
 function reportVerdict(): void {
-  const { unexpected, expected, outdated } = compareWithKnownRed(known, failed);
+  const verdict = compareWithKnownRed(known, { passed, failed });
+  const { unexpected, expected, notRun, outdated } = verdict;
   for (const red of expected) print(`known red: ${formatKnownRed(red)}`);
+  for (const red of notRun) print(`known red, not run: ${formatKnownRed(red)}`);
   for (const red of outdated)
-    print(`passes, remove it from ${KNOWN_RED_PATH}: ${formatKnownRed(red)}`);
+    print(`does not fail, remove it from ${KNOWN_RED_PATH}: ${formatKnownRed(red)}`);
   for (const test of unexpected) print(`failed: ${test}`);
-  if (passedCount === 0) print('no test passed');
-  const succeeded = unexpected.length === 0 && outdated.length === 0 && passedCount > 0;
+  if (passed.size === 0) print('no test passed');
+  const succeeded = unexpected.length === 0 && outdated.length === 0 && passed.size > 0;
   process.exitCode = succeeded ? 0 : 1;
 }
 
 const events = run({ files: chooseFiles(process.argv.slice(2)), concurrency: true });
-events.on('test:pass', () => passedCount++);
+events.on('test:pass', ({ name }) => passed.add(name));
 events.on('test:fail', ({ name }) => failed.add(name));
 events.compose(tap).on('end', reportVerdict).pipe(process.stdout);
--- a/packages/testing/src/test-run/find-test-files.ts
+++ b/packages/testing/src/test-run/find-test-files.ts
@@ -2,7 +2,8 @@
 import { existsSync, readdirSync } from 'node:fs';
 import { join } from 'node:path';
 
-const PACKAGES_FOLDER = 'packages';
+/** The folder of all packages, below the root. */
+export const PACKAGES_FOLDER = 'packages';
 const TEST_SUFFIX = '.test.js';
 
 /** Paths of the test files in the `dist` folder of each package, sorted by path. */
--- a/packages/testing/src/test-run/known-red.ts
+++ b/packages/testing/src/test-run/known-red.ts
@@ -1,4 +1,7 @@
 /** The list of tests that fail for a known fault: `KNOWN-RED.txt` at the root. */
+import { statSync } from 'node:fs';
+import { isAbsolute, join, normalize, sep } from 'node:path';
+import { PACKAGES_FOLDER } from './find-test-files.js';
 
 /** A longer list is rejected: further faults must be fixed, not listed. */
 const MAX_ENTRY_COUNT = 3;
@@ -15,13 +18,21 @@
   issue: string;
 }
 
-/** Result of the comparison of a run's failed tests with the list. */
+/** Names of the tests of a run, by their result. */
+export interface TestResults {
+  passed: ReadonlySet<string>;
+  failed: ReadonlySet<string>;
+}
+
+/** Result of the comparison of a run's results with the list. */
 export interface Verdict {
   /** Failed, and not on the list. */
   unexpected: string[];
   /** Failed as listed. */
   expected: KnownRedTest[];
-  /** Listed, but did not fail; the entry must be removed. */
+  /** Listed, and a script that is no test of the run, so the run says nothing about it. */
+  notRun: KnownRedTest[];
+  /** Listed, but passed or exists nowhere; the entry must be removed. */
   outdated: KnownRedTest[];
 }
 
@@ -52,12 +63,30 @@
 export const formatKnownRed = ({ test, command, observed, issue }: KnownRedTest): string =>
   [test, command, observed, issue].join(' | ');
 
-/** Compares the tests that failed with those that are listed. */
-export function compareWithKnownRed(known: KnownRedTest[], failed: ReadonlySet<string>): Verdict {
+/**
+ * Whether an entry's test is the path of a script that the run does not start: a file below `root`
+ * and outside the packages, whose files the run knows.
+ */
+export function isScriptOutsideRun(test: string, root = '.'): boolean {
+  const path = normalize(test);
+  const [folder] = path.split(sep);
+  if (isAbsolute(path) || folder === '..' || folder === PACKAGES_FOLDER) return false;
+  return statSync(join(root, path), { throwIfNoEntry: false })?.isFile() ?? false;
+}
+
+/** Compares the results of a run with the tests that are listed. */
+export function compareWithKnownRed(
+  known: KnownRedTest[],
+  { passed, failed }: TestResults,
+  isScript: (test: string) => boolean = isScriptOutsideRun,
+): Verdict {
   const listed = new Set(known.map(({ test }) => test));
+  const others = known.filter(({ test }) => !failed.has(test));
+  const isNotRun = ({ test }: KnownRedTest): boolean => !passed.has(test) && isScript(test);
   return {
     unexpected: [...failed].filter((test) => !listed.has(test)),
     expected: known.filter(({ test }) => failed.has(test)),
-    outdated: known.filter(({ test }) => !failed.has(test)),
+    notRun: others.filter(isNotRun),
+    outdated: others.filter((red) => !isNotRun(red)),
   };
 }
