Decoding: a message may not announce more than it holds

Callers saw: 4 KiB of a text in another encoding, posted to /api/jobs, ended a controller (SIGABRT, out of memory); one request to each left none. Cause: the MessagePack decoder makes room for a list when it reads its length, and unpackBody bounded neither the lengths nor the nesting; each byte 0xDC announced a list of 56,540 elements. One header of five bytes makes the decoder take 256 MB. Also of this class: map keys that look like indices (12 KB each) and answers of 8 MiB full of empty maps.

--- /dev/null
+++ b/packages/testing/src/unit/hostile-messages.test.ts
@@ -0,0 +1,69 @@
+import assert from 'node:assert/strict';
+import { spawnSync } from 'node:child_process';
+import { readFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { test } from 'node:test';
+import { packBody, unpackBody } from '@tealdock/wire';
+import { HOSTILE_BODIES, type HostileMessage } from './hostile-messages.js';
+
+/** The heap of a controller in MB, from the deploy file. */
+const HEAP_MB = Number(
+  /--max-old-space-size=(\d+)/.exec(readFileSync('deploy/service.toml', 'utf8'))?.[1],
+);
+/** A whole process with one message must live in this share of it, beside a controller's state. */
+const HEAP_SHARE = 1 / 4;
+/**
+ * A health probe fails after 1 s, and a controller has 0.34 of a core (the platform's settings), so
+ * this much processor time for one message fails no probe.
+ */
+const MAX_PROCESSOR_MS = 340;
+
+const CHILD = join(import.meta.dirname, 'hostile-message-child.js');
+
+function assertBounded(name: string, { refusedWith }: HostileMessage): void {
+  const heap = `--max-old-space-size=${Math.floor(HEAP_MB * HEAP_SHARE)}`;
+  const child = spawnSync(process.execPath, [heap, '--max-semi-space-size=1', CHILD, name]);
+  assert.equal(
+    child.status,
+    0,
+    `ended by ${child.signal}: ${child.stderr.toString().slice(0, 300)}`,
+  );
+  const outcome = JSON.parse(child.stdout.toString()) as {
+    refusedWith: string | null;
+    processorMs: number;
+  };
+  assert.equal(outcome.refusedWith, refusedWith);
+  assert.ok(outcome.processorMs <= MAX_PROCESSOR_MS, `${outcome.processorMs} ms`);
+}
+
+// A controller that got 4 KiB of a text in another encoding ended: out of memory.
+for (const [name, message] of Object.entries(HOSTILE_BODIES)) {
+  test(`memory and time are bounded for a body of ${name}`, () => assertBounded(name, message));
+}
+
+test('the bound lets every form of value through', () => {
+  const values = [
+    [0, 127, 128, 65_535, 65_536, 2 ** 32, 2 ** 53 - 1, -1, -32, -33, -129, -40_000, -(2 ** 40)],
+    [0.5, -0.25, true, false, null, '', 'a', 'ü'.repeat(20), 'b'.repeat(40), 'c'.repeat(300)],
+    ['d'.repeat(70_000), new Date(0), new Date(2 ** 35)],
+    [[], {}, Array(15).fill(1), Array(16).fill([]), Array(70_000).fill(0)],
+    { 0: 'index', long_key_that_is_cached_nowhere_at_all: { nested: { deeper: [[[{}]]] } } },
+    Object.fromEntries(Array.from({ length: 20 }, (_, i) => [`key-${i}`, i])),
+    Object.fromEntries(Array.from({ length: 40_000 }, (_, i) => [`k-${i}`, i])),
+  ];
+  for (const value of values) assert.deepEqual(unpackBody(packBody(value)), value);
+  for (const byteCount of [3, 300, 70_000]) {
+    const binary = Buffer.alloc(byteCount, 1);
+    assert.deepEqual(Buffer.from(unpackBody(packBody(binary)) as Uint8Array), binary);
+  }
+});
+
+test('a body that ends too soon, goes on too long or begins with no value is refused', () => {
+  const bytes = packBody({ list: [1, 'text', { key: 2.5 }], other: 'x'.repeat(300) });
+  for (let end = 0; end < bytes.length; end++) {
+    assert.throws(() => unpackBody(bytes.subarray(0, end)), { name: 'WireError' });
+  }
+  const tooLong = Buffer.concat([bytes, Buffer.from([0])]);
+  assert.throws(() => unpackBody(tooLong), { name: 'WireError' });
+  assert.throws(() => unpackBody(Buffer.from([0xc1])), { name: 'WireError' });
+});
--- a/packages/wire/src/errors.ts
+++ b/packages/wire/src/errors.ts
@@ -2,7 +2,12 @@
 
 /** A body is not MessagePack, or does not match the schema of its interface. */
 export class WireError extends Error {
-  override readonly name = 'WireError';
+  override readonly name: string = 'WireError';
+}
+
+/** A message is larger than this process takes, or decoding it would need too much memory. */
+export class TooLargeError extends WireError {
+  override readonly name = 'TooLargeError';
 }
 
 /** Bytes from another controller are not a valid frame of the peer protocol. */
