Decoding: a peer's frame may not announce more than it holds

Cause: the Avro decoder makes room for a block of a list by its announced length, and decodes items past the end of the frame; that it is truncated is checked only afterwards. Forms of the frames are unchanged.

--- a/packages/testing/src/unit/hostile-message-child.ts
+++ b/packages/testing/src/unit/hostile-message-child.ts
@@ -1,9 +1,9 @@
 /** Decodes one hostile message, named by the argument, and prints the outcome as JSON. */
-import { HOSTILE_BODIES } from './hostile-messages.js';
+import { HOSTILE_MESSAGES } from './hostile-messages.js';
 
 const MICROSECONDS_PER_MS = 1000;
 
-const message = HOSTILE_BODIES[process.argv[2] ?? '']!;
+const message = HOSTILE_MESSAGES[process.argv[2] ?? '']!;
 const bytes = message.bytes();
 let refusedWith: string | null = null;
 const before = process.cpuUsage();
--- a/packages/testing/src/unit/hostile-messages.test.ts
+++ b/packages/testing/src/unit/hostile-messages.test.ts
@@ -4,7 +4,7 @@
 import { join } from 'node:path';
 import { test } from 'node:test';
 import { packBody, unpackBody } from '@tealdock/wire';
-import { HOSTILE_BODIES, type HostileMessage } from './hostile-messages.js';
+import { HOSTILE_BODIES, HOSTILE_FRAMES, type HostileMessage } from './hostile-messages.js';
 
 /** The heap of a controller in MB, from the deploy file. */
 const HEAP_MB = Number(
@@ -41,6 +41,12 @@
   test(`memory and time are bounded for a body of ${name}`, () => assertBounded(name, message));
 }
 
+// A frame of six bytes that announced two billion jobs ended the controller that read it.
+for (const [name, message] of Object.entries(HOSTILE_FRAMES)) {
+  test(`memory and time are bounded for a peer's frame of ${name}`, () =>
+    assertBounded(name, message));
+}
+
 test('the bound lets every form of value through', () => {
   const values = [
     [0, 127, 128, 65_535, 65_536, 2 ** 32, 2 ** 53 - 1, -1, -32, -33, -129, -40_000, -(2 ** 40)],
--- a/packages/testing/src/unit/hostile-messages.ts
+++ b/packages/testing/src/unit/hostile-messages.ts
@@ -2,7 +2,7 @@
  * Messages that would make a decoder take far more memory or time than they have bytes. Each is as
  * long as its interface allows.
  */
-import { MAX_BODY_BYTES, unpackBody } from '@tealdock/wire';
+import { MAX_BODY_BYTES, PeerDecoder, unpackBody } from '@tealdock/wire';
 
 /** A message, with what a process does to it. */
 export interface HostileMessage {
@@ -109,3 +109,98 @@
   'empty lists, in an answer': bodyOf(() => listOfEqual(EMPTY_LIST, ANSWER_BYTES), TOO_LARGE),
   'maps of distinct keys, in an answer': bodyOf(() => mapsOfDistinctKeys(ANSWER_BYTES), TOO_LARGE),
 };
+
+/** The longest frame that is read from another controller. */
+const FRAME_BYTES = 256 * 1024;
+const COUNTS = 3;
+const HINTS = 4;
+/** The Avro integers 0 and 2^31 - 1. */
+const ZERO = 0;
+const TWO_BILLION = [0xfe, 0xff, 0xff, 0xff, 0x0f];
+
+/** The Avro form of an integer that is not negative. */
+function avroInteger(value: number): number[] {
+  const bytes: number[] = [];
+  let rest = 2 * value;
+  for (; rest > 0x7f; rest = Math.floor(rest / 128)) bytes.push((rest % 128) + 128);
+  return [...bytes, rest];
+}
+
+function frameOf(kind: number, record: Buffer): Buffer {
+  const header = Buffer.from([0, 0, 0, 0, kind]);
+  header.writeUInt32BE(record.length);
+  return Buffer.concat([header, record]);
+}
+
+/** An Avro list of equal items that fills a frame, with bytes before and after it. */
+function fullFrame(kind: number, before: number[], item: number[], after: number[]): Buffer {
+  const spaceForCount = 6;
+  const space = FRAME_BYTES - before.length - after.length - spaceForCount;
+  const items = repeated(item, space);
+  const count = avroInteger(items.length / item.length);
+  const list = [Buffer.from([...before, ...count]), items, Buffer.from([ZERO, ...after])];
+  return frameOf(kind, Buffer.concat(list));
+}
+
+const peerFrame = (bytes: () => Buffer, refusedWith: string | null): HostileMessage => ({
+  bytes,
+  decode: (frame) => new PeerDecoder().push(frame),
+  refusedWith,
+});
+
+const NO_FRAME = 'PeerProtocolError';
+const FETCH_SHARING = Array<number>(8).fill(0);
+
+/** Frames from other controllers. */
+export const HOSTILE_FRAMES: Record<string, HostileMessage> = {
+  'a list of jobs that is announced, and no job': peerFrame(
+    () => frameOf(COUNTS, Buffer.from([...TWO_BILLION, ZERO])),
+    NO_FRAME,
+  ),
+  'a list inside a list that is announced, and no item': peerFrame(
+    () => frameOf(HINTS, Buffer.from([ZERO, ZERO, 2, ZERO, ...TWO_BILLION])),
+    NO_FRAME,
+  ),
+  'a text that is announced, and no character': peerFrame(
+    () => frameOf(COUNTS, Buffer.from([2, ...TWO_BILLION])),
+    NO_FRAME,
+  ),
+  'a list in blocks without an end': peerFrame(
+    () => frameOf(COUNTS, repeated([2, ZERO, ZERO, ZERO], FRAME_BYTES)),
+    NO_FRAME,
+  ),
+  'an integer without an end': peerFrame(
+    () => frameOf(COUNTS, repeated([0xff], FRAME_BYTES)),
+    NO_FRAME,
+  ),
+  'the shortest descriptions of jobs': peerFrame(
+    () => fullFrame(COUNTS, [], [ZERO, ZERO, ZERO], []),
+    NO_FRAME,
+  ),
+  'the shortest descriptions of machines': peerFrame(
+    () => fullFrame(HINTS, [ZERO, ZERO], [ZERO, ZERO], FETCH_SHARING),
+    NO_FRAME,
+  ),
+  'as many short descriptions of jobs as are accepted': peerFrame(
+    () =>
+      frameOf(
+        COUNTS,
+        Buffer.concat([
+          Buffer.from(avroInteger(40_000)),
+          repeated([ZERO, ZERO, ZERO], 120_000),
+          Buffer.from([ZERO]),
+        ]),
+      ),
+    null,
+  ),
+  'indices of images': peerFrame(
+    () => fullFrame(HINTS, [ZERO, ZERO, 2, ZERO], [ZERO], [ZERO, ...FETCH_SHARING]),
+    null,
+  ),
+};
+
+/** All of them by name. */
+export const HOSTILE_MESSAGES: Record<string, HostileMessage> = {
+  ...HOSTILE_BODIES,
+  ...HOSTILE_FRAMES,
+};
--- a/packages/wire/src/peers.ts
+++ b/packages/wire/src/peers.ts
@@ -1,5 +1,6 @@
 /** Messages between controllers: Avro records in length-prefixed frames over TCP. */
 import avsc from 'avsc';
+import { checkAvro, type AvroArray, type AvroRecord, type AvroSchema } from './avro-walk.js';
 import { PeerProtocolError } from './errors.js';
 
 /** Numbers of a live job's tasks that are done and that are running, for display. */
@@ -42,14 +43,23 @@
   | { kind: 'ask'; id: number; method: string; path: string; body: Buffer }
   | { kind: 'answer'; id: number; status: number; body: Buffer };
 
-const recordOf = (name: string, fields: Record<string, avsc.Schema>): avsc.Schema => ({
+/** A schema with the codec that is made from it. */
+interface MessageType {
+  schema: AvroRecord;
+  codec: avsc.Type;
+}
+
+const recordOf = (name: string, fields: Record<string, AvroSchema>): AvroRecord => ({
   type: 'record',
   name,
   fields: Object.entries(fields).map(([field, type]) => ({ name: field, type })),
 });
-const listOf = (items: avsc.Schema): avsc.Schema => ({ type: 'array', items });
-const messageType = (name: string, fields: Record<string, avsc.Schema>): avsc.Type =>
-  avsc.Type.forSchema(recordOf(name, fields));
+const listOf = (items: AvroSchema): AvroArray => ({ type: 'array', items });
+
+function messageType(name: string, fields: Record<string, AvroSchema>): MessageType {
+  const schema = recordOf(name, fields);
+  return { schema, codec: avsc.Type.forSchema(schema) };
+}
 
 /** The fields of a heartbeat's Avro record. */
 interface HeartbeatRecord {
@@ -106,7 +116,7 @@
 
 /** Encodes a message as a frame: header, then the Avro record. */
 export function packPeerMessage(message: PeerMessage): Buffer {
-  const body = TYPES[message.kind].toBuffer(toRecord(message));
+  const body = TYPES[message.kind].codec.toBuffer(toRecord(message));
   const frame = Buffer.alloc(HEADER_BYTES + body.length);
   frame.writeUInt32BE(body.length, 0);
   frame.writeUInt8(KINDS.indexOf(message.kind), LENGTH_BYTES);
@@ -138,8 +148,10 @@
 }
 
 function decodeRecord(kind: PeerMessage['kind'], bytes: Buffer): PeerMessage {
+  const { schema, codec } = TYPES[kind];
   try {
-    return fromRecord(kind, TYPES[kind].fromBuffer(bytes) as object);
+    checkAvro(schema, bytes);
+    return fromRecord(kind, codec.fromBuffer(bytes) as object);
   } catch (error) {
     throw new PeerProtocolError(`malformed ${kind} frame: ${String(error)}`, { cause: error });
   }
