Validation: a list ends at its first wrong element

Cause: validation of a list described what is wrong with each element, some hundred bytes for each byte of the message, though only the first description is used. Fix: listOf validates element after element and ends at the first wrong one; all lists of all interfaces use it. The error still names the first wrong element.

--- a/packages/testing/src/unit/hostile-messages.test.ts
+++ b/packages/testing/src/unit/hostile-messages.test.ts
@@ -3,8 +3,13 @@
 import { readFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { test } from 'node:test';
-import { packBody, unpackBody } from '@tealdock/wire';
-import { HOSTILE_BODIES, HOSTILE_FRAMES, type HostileMessage } from './hostile-messages.js';
+import { packBody, parseCancellations, parseHeartbeat, unpackBody } from '@tealdock/wire';
+import {
+  HOSTILE_BODIES,
+  HOSTILE_FRAMES,
+  INVALID_LISTS,
+  type HostileMessage,
+} from './hostile-messages.js';
 
 /** The heap of a controller in MB, from the deploy file. */
 const HEAP_MB = Number(
@@ -47,6 +52,22 @@
     assertBounded(name, message));
 }
 
+// A heartbeat with 65,000 empty tasks ended a controller, which described what each of them lacks.
+for (const [name, message] of Object.entries(INVALID_LISTS)) {
+  test(`memory and time are bounded for a list of ${name}`, () => assertBounded(name, message));
+}
+
+test('the first invalid element of a list is named', () => {
+  const task = { piece: 'run-1/0', try_no: 1, status: 'running' };
+  const batch = [task, { ...task, status: 'lost' }, { ...task, try_no: -1 }];
+  const body = { host: 'm', addr: 'a', flavour: 'g', hall: 'a', spare: true };
+  const heartbeat = { ...body, shift: 1, tally: 1, fence: 0, batch };
+  assert.throws(() => parseHeartbeat(heartbeat), { message: /^batch\.1\.status: Invalid option/ });
+  assert.throws(() => parseHeartbeat({ ...heartbeat, batch: 3 }), { message: /^batch: .*array/ });
+  const jobs = Array<string>(1001).fill('run-1');
+  assert.throws(() => parseCancellations({ jobs }), { message: /^jobs: Too big/ });
+});
+
 test('the bound lets every form of value through', () => {
   const values = [
     [0, 127, 128, 65_535, 65_536, 2 ** 32, 2 ** 53 - 1, -1, -32, -33, -129, -40_000, -(2 ** 40)],
--- a/packages/testing/src/unit/hostile-messages.ts
+++ b/packages/testing/src/unit/hostile-messages.ts
@@ -2,7 +2,17 @@
  * Messages that would make a decoder take far more memory or time than they have bytes. Each is as
  * long as its interface allows.
  */
-import { MAX_BODY_BYTES, PeerDecoder, unpackBody } from '@tealdock/wire';
+import {
+  MAX_BODY_BYTES,
+  PeerDecoder,
+  packBody,
+  parseCancellations,
+  parseChanges,
+  parseHeartbeat,
+  parseMachinePage,
+  parseSubmission,
+  unpackBody,
+} from '@tealdock/wire';
 
 /** A message, with what a process does to it. */
 export interface HostileMessage {
@@ -199,8 +209,47 @@
   ),
 };
 
+/** A body with all valid fields of a map, and after them one with a list of equal elements. */
+function bodyWithList(
+  fields: Record<string, unknown>,
+  name: string,
+  element: readonly number[],
+): Buffer {
+  const fieldsAndNil = packBody({ ...fields, [name]: null });
+  const list = listOfEqual(element, MAX_BODY_BYTES - fieldsAndNil.length);
+  return Buffer.concat([fieldsAndNil.subarray(0, -1), list]);
+}
+
+const HEARTBEAT = {
+  ...{ host: 'm-1', addr: '127.0.0.1:1', flavour: 'g', hall: 'a', spare: true },
+  ...{ shift: 1, tally: 1, fence: 1 },
+};
+
+const invalidList = (
+  parse: (body: unknown) => unknown,
+  fields: Record<string, unknown>,
+  name: string,
+  element: readonly number[],
+): HostileMessage => ({
+  bytes: () => bodyWithList(fields, name, element),
+  decode: (bytes) => parse(unpackBody(bytes)),
+  refusedWith: NO_MESSAGE_PACK,
+});
+
+/** Bodies that can be decoded, but whose lists have elements that are all invalid. */
+export const INVALID_LISTS: Record<string, HostileMessage> = {
+  'tasks without fields': invalidList(parseHeartbeat, HEARTBEAT, 'batch', EMPTY_MAP),
+  'tasks that are no maps': invalidList(parseHeartbeat, HEARTBEAT, 'batch', [NIL]),
+  'predecessors that are no texts': invalidList(parseSubmission, {}, 'waits_on', [NIL]),
+  'machine types that are no texts': invalidList(parseSubmission, {}, 'flavours', [NIL]),
+  'cancelled jobs that are no ids': invalidList(parseCancellations, {}, 'jobs', [NIL]),
+  'changes without fields': invalidList(parseChanges, { epoch: 1 }, 'news', EMPTY_MAP),
+  'machines without fields': invalidList(parseMachinePage, {}, 'hosts', EMPTY_MAP),
+};
+
 /** All of them by name. */
 export const HOSTILE_MESSAGES: Record<string, HostileMessage> = {
   ...HOSTILE_BODIES,
   ...HOSTILE_FRAMES,
+  ...INVALID_LISTS,
 };
--- a/packages/wire/src/cancellations.ts
+++ b/packages/wire/src/cancellations.ts
@@ -1,7 +1,7 @@
 /** Requests by which controllers announce cancelled jobs to each other. */
 import { z } from 'zod';
 import { isJobId } from './jobs.js';
-import { validateBody } from './validation.js';
+import { listOf, validateBody } from './validation.js';
 
 /** The path to which a controller posts the jobs whose cancellation it has committed. */
 export const CANCELLATIONS_PATH = '/cancellations';
@@ -9,7 +9,7 @@
 const MAX_JOB_COUNT = 1000;
 
 const cancellationsSchema = z.object({
-  jobs: z.array(z.string().refine(isJobId)).max(MAX_JOB_COUNT),
+  jobs: listOf(z.string().refine(isJobId), MAX_JOB_COUNT),
 });
 
 /** Parses the ids of the jobs that a controller has cancelled; throws `WireError`. */
--- a/packages/wire/src/cloud.ts
+++ b/packages/wire/src/cloud.ts
@@ -5,7 +5,7 @@
 import { z } from 'zod';
 import { millisecondsOf } from './body.js';
 import type { ListedMachine, MachineType } from './domain.js';
-import { validateBody } from './validation.js';
+import { listOf, validateBody } from './validation.js';
 
 /** The machine types on offer (GET). */
 export const CATALOG_PATH = '/catalog';
@@ -33,7 +33,7 @@
 
 const amount = z.number().nonnegative();
 const catalogSchema = z.object({
-  flavours: z.array(
+  flavours: listOf(
     z.object({
       label: z.string().min(1),
       cpus: amount,
@@ -44,13 +44,13 @@
       price: amount,
       low_price: amount.nullish(),
       ready_s: amount,
-      halls: z.array(z.string()),
+      halls: listOf(z.string()),
     }),
   ),
 });
-const rentedSchema = z.object({ hosts: z.array(z.string()) });
+const rentedSchema = z.object({ hosts: listOf(z.string()) });
 const machinePageSchema = z.object({
-  hosts: z.array(
+  hosts: listOf(
     z.object({
       ref: z.string(),
       addr: z.string().nullish(),
--- a/packages/wire/src/jobs.ts
+++ b/packages/wire/src/jobs.ts
@@ -6,13 +6,14 @@
 import { millisecondsOf } from './body.js';
 import type { JobKind, JobSpec, JobView, Priority } from './domain.js';
 import { WireError } from './errors.js';
-import { validateBody } from './validation.js';
+import { listOf, validateBody } from './validation.js';
 
 /** Submissions (POST); the paths of single jobs begin with it. */
 export const JOBS_PATH = '/api/jobs';
 /** The platform's health checks (GET). */
 export const HEALTH_PATH = '/healthz';
 const MAX_TASK_COUNT = 100_000;
+const MAX_TYPE_COUNT = 200;
 
 const PRIORITIES = {
   prod: 'production',
@@ -43,7 +44,7 @@
   mem_gb: amount,
   bundle: name,
   image_gb: amount,
-  flavours: z.array(name).max(200).nullish(),
+  flavours: listOf(name, MAX_TYPE_COUNT).nullish(),
   hall: name.nullish(),
   same_place: flag,
   apart: flag,
@@ -52,7 +53,7 @@
   snapshot_s: amount,
   flush_s: amount,
   due_s: amount.nullish(),
-  waits_on: z.array(z.string()).nullish(),
+  waits_on: listOf(z.string()).nullish(),
 });
 
 /** Whether a value has the form of a job id: `run-` and 1 to 60 digits. */
--- a/packages/wire/src/state.ts
+++ b/packages/wire/src/state.ts
@@ -5,7 +5,7 @@
  */
 import { z } from 'zod';
 import type { Duration } from './domain.js';
-import { validateBody } from './validation.js';
+import { listOf, validateBody } from './validation.js';
 
 /** Transactions (POST). */
 export const COMMIT_PATH = '/commit';
@@ -37,12 +37,12 @@
 const count = z.number().int().nonnegative();
 const itemSchema = z.object({ key: z.string(), v: z.unknown(), stamp: count });
 const pageSchema = z.object({
-  items: z.array(itemSchema),
+  items: listOf(itemSchema),
   has_next: z.boolean().nullish(),
   epoch: count,
 });
 const committedSchema = z.object({ epoch: count });
-const conflictSchema = z.object({ failed: z.array(z.string()) });
+const conflictSchema = z.object({ failed: listOf(z.string()) });
 const leaseSchema = z.object({ tenancy: count });
 const changeSchema = z.object({
   write: z.string().optional(),
@@ -50,7 +50,7 @@
   v: z.unknown().optional(),
   stamp: count,
 });
-const changesSchema = z.object({ epoch: count, news: z.array(changeSchema) });
+const changesSchema = z.object({ epoch: count, news: listOf(changeSchema) });
 
 const itemFrom = (item: z.infer<typeof itemSchema>): StateItem => ({
   key: item.key,
--- a/packages/wire/src/workers.ts
+++ b/packages/wire/src/workers.ts
@@ -5,7 +5,7 @@
 import { z } from 'zod';
 import { millisecondsOf, secondsOf } from './body.js';
 import type { ExitReason, TaskState, WorkerCommand, WorkerHeartbeat } from './domain.js';
-import { validateBody } from './validation.js';
+import { listOf, validateBody } from './validation.js';
 
 /** The path to which workers post their heartbeats. */
 export const HEARTBEAT_PATH = '/hello';
@@ -43,7 +43,7 @@
   tally: count,
   fence: count,
   warning_s: z.number().nullish(),
-  batch: z.array(
+  batch: listOf(
     z.object({
       piece: z.string().min(1).max(200),
       try_no: count,
