Bodies and frames are kept in one buffer, however small their pieces

Cause: each piece was kept as it came, some hundred bytes for a byte; and the decoder of frames copied all it had with each piece. Fix: ByteAccumulator copies pieces into one buffer that doubles, so memory is at most twice the bytes and time is linear. receiveBody uses it for requests and answers, PeerDecoder for frames.

--- a/packages/adapters/src/http-client.ts
+++ b/packages/adapters/src/http-client.ts
@@ -2,6 +2,7 @@
 import { Agent, request, type IncomingMessage } from 'node:http';
 import { WireError, packBody, unpackBody, type Duration } from '@tealdock/wire';
 import type { CallResult } from '@tealdock/controller';
+import { receiveBody } from './receive-body.js';
 
 /** A longer response is not read and counts as lost; only those to watches come near this. */
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
@@ -86,16 +87,16 @@
 }
 
 function readAnswer(response: IncomingMessage, settle: (result: CallResult) => void): void {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  response.on('data', (chunk: Buffer) => {
-    bytes += chunk.length;
-    if (bytes > MAX_ANSWER_BYTES) response.destroy();
-    else chunks.push(chunk);
-  });
   response.on('error', () => settle({ kind: 'lost' }));
   response.on('close', () => settle({ kind: 'lost' }));
-  response.on('end', () => settle(resultOf(response.statusCode ?? 0, Buffer.concat(chunks))));
+  receiveBody(response, {
+    mayKeep: (_addedBytes, length) => {
+      if (length <= MAX_ANSWER_BYTES) return true;
+      response.destroy();
+      return false;
+    },
+    onComplete: (payload) => settle(resultOf(response.statusCode ?? 0, payload)),
+  });
 }
 
 function resultOf(status: number, payload: Buffer): CallResult {
--- a/packages/adapters/src/http-server.ts
+++ b/packages/adapters/src/http-server.ts
@@ -10,6 +10,7 @@
 import type { Reply, SocketShares } from '@tealdock/controller';
 import type { Connections, ClientKind } from './connections.js';
 import { listen, type ListenEvents } from './listen.js';
+import { receiveBody } from './receive-body.js';
 
 const CLOSE_IDLE_INTERVAL_MS = 1000;
 const REQUEST_TIMEOUT_MS = 10_000;
@@ -22,6 +23,7 @@
 export type Respond = (reply: Reply) => void;
 
 const BUSY: Reply = { status: 503, body: { error: 'busy' }, retryAfter: BUSY_RETRY_AFTER_MS };
+const BODY_TOO_LONG: Reply = { status: 400, body: { error: 'the body is over 64 KiB' } };
 const LEASE_IN_DOUBT: Reply = { status: 503, body: { error: 'lease in doubt' } };
 
 /**
@@ -66,24 +68,17 @@
   }
 
   private receiveBody(req: IncomingMessage, res: ServerResponse): void {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    req.on('data', (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes <= MAX_BODY_BYTES) chunks.push(chunk);
-      else if (!res.headersSent) this.refuseBody(res);
-    });
     req.on('error', () => res.destroy());
-    req.on('end', () => {
-      if (bytes <= MAX_BODY_BYTES) this.handleWithTimeout(req, Buffer.concat(chunks), res);
+    receiveBody(req, {
+      mayKeep: (_addedBytes, length) => {
+        if (length <= MAX_BODY_BYTES) return true;
+        refuseBody(res, BODY_TOO_LONG);
+        return false;
+      },
+      onComplete: (body) => this.handleWithTimeout(req, body, res),
     });
   }
 
-  private refuseBody(res: ServerResponse): void {
-    res.setHeader('connection', 'close');
-    write(res, { status: 400, body: { error: 'the body is over 64 KiB' } });
-  }
-
   private handleWithTimeout(req: IncomingMessage, body: Buffer, res: ServerResponse): void {
     const timer = setTimeout(() => write(res, BUSY), REPLY_TIMEOUT_MS);
     this.handle(req.method ?? 'GET', pathOf(req), body, (reply) => {
@@ -93,6 +88,12 @@
   }
 }
 
+/** Refuses a request before its body is complete, and closes the connection after the reply. */
+function refuseBody(res: ServerResponse, reply: Reply): void {
+  res.setHeader('connection', 'close');
+  write(res, reply);
+}
+
 const pathOf = (req: IncomingMessage): string => (req.url ?? '/').replace(/\?.*$/s, '');
 
 function clientOf(path: string): ClientKind {
--- a/packages/testing/src/unit/hostile-messages.ts
+++ b/packages/testing/src/unit/hostile-messages.ts
@@ -21,6 +21,8 @@
   decode: (bytes: Buffer) => unknown;
   /** The class of the error; null if the message must be accepted. */
   refusedWith: string | null;
+  /** Reads from its socket in which it arrives at least, if not one; others are served between. */
+  readCount?: number;
 }
 
 /** The longest answer of the state service that is read; an answer to a watch may come near it. */
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -2,6 +2,7 @@
 export * from './domain.js';
 export * from './errors.js';
 export * from './body.js';
+export * from './byte-accumulator.js';
 export * from './jobs.js';
 export * from './workers.js';
 export * from './cloud.js';
--- a/packages/wire/src/peers.ts
+++ b/packages/wire/src/peers.ts
@@ -1,5 +1,6 @@
 /** Messages between controllers: Avro records in length-prefixed frames over TCP. */
 import avsc from 'avsc';
+import { ByteAccumulator } from './byte-accumulator.js';
 import { checkAvro, type AvroArray, type AvroRecord, type AvroSchema } from './avro-walk.js';
 import { PeerProtocolError } from './errors.js';
 
@@ -127,26 +128,46 @@
 /** Decodes a stream of bytes into messages. After an error, the stream must not be read on. */
 export class PeerDecoder {
   /** Received bytes that do not form a complete frame yet. */
-  private pending: Buffer = Buffer.alloc(0);
+  private readonly pending = new ByteAccumulator();
 
   /** Adds received bytes and returns the messages they complete; throws `PeerProtocolError`. */
   push(chunk: Buffer): PeerMessage[] {
-    this.pending = Buffer.concat([this.pending, chunk]);
+    this.pending.append(chunk);
+    const received = this.pending.bytes();
     const messages: PeerMessage[] = [];
+    let offset = 0;
     for (;;) {
-      if (this.pending.length < HEADER_BYTES) return messages;
-      const length = this.pending.readUInt32BE(0);
-      if (length > MAX_FRAME_BYTES) throw new PeerProtocolError('peer frame too long');
-      const frameBytes = HEADER_BYTES + length;
-      if (this.pending.length < frameBytes) return messages;
-      const kind = KINDS[this.pending.readUInt8(LENGTH_BYTES)];
-      if (!kind) throw new PeerProtocolError('unknown peer frame');
-      messages.push(decodeRecord(kind, this.pending.subarray(HEADER_BYTES, frameBytes)));
-      this.pending = this.pending.subarray(frameBytes);
+      const frame = frameAt(received, offset);
+      if (frame === null) break;
+      messages.push(decodeRecord(frame.kind, frame.record));
+      offset = frame.end;
     }
+    this.pending.dropFirst(offset);
+    return messages;
   }
 }
 
+/** A frame among received bytes. */
+interface Frame {
+  kind: PeerMessage['kind'];
+  record: Buffer;
+  /** The offset behind its last byte. */
+  end: number;
+}
+
+/** The frame that begins at this offset; null if it is not complete. */
+function frameAt(received: Buffer, offset: number): Frame | null {
+  const recordOffset = offset + HEADER_BYTES;
+  if (received.length < recordOffset) return null;
+  const length = received.readUInt32BE(offset);
+  if (length > MAX_FRAME_BYTES) throw new PeerProtocolError('peer frame too long');
+  const end = recordOffset + length;
+  if (received.length < end) return null;
+  const kind = KINDS[received.readUInt8(offset + LENGTH_BYTES)];
+  if (!kind) throw new PeerProtocolError('unknown peer frame');
+  return { kind, record: received.subarray(recordOffset, end), end };
+}
+
 function decodeRecord(kind: PeerMessage['kind'], bytes: Buffer): PeerMessage {
   const { schema, codec } = TYPES[kind];
   try {
