Requests held at a time are limited: bodies by memory, connections by count

Cause: 64 KiB limit one body, and nothing limited how many are held; pipelined requests, which the protocol excludes, were all taken. Fix: all bodies that arrive or wait for an answer share 16 MiB, peers' requests 4 MiB (MemoryBudget); beyond that 503. A connection with more than four unanswered requests is closed, headers may take 4 KiB, and parked heartbeats 100,000 tasks.

--- a/packages/adapters/src/connections.ts
+++ b/packages/adapters/src/connections.ts
@@ -31,6 +31,11 @@
 /** A worker that has missed this many heartbeats has failed or will open a new connection. */
 const MISSED_HEARTBEAT_COUNT = 4;
 const MIN_WORKER_IDLE_TIMEOUT_MS = 15_000;
+/**
+ * Clients wait for each answer before their next request (protocol: no requests are pipelined). An
+ * answer may still count as unsent when the client has it already, so a few more are let through.
+ */
+const MAX_UNANSWERED_COUNT = 4;
 
 /**
  * Admits clients' connections and closes idle ones. A machine that fails, is preempted or is
@@ -98,6 +103,11 @@
     return !connection.isSurplus || client === 'probe';
   }
 
+  /** Whether the client sends requests without waiting for the answers, against the protocol. */
+  isPipelining(socket: Closable): boolean {
+    return (this.connections.get(socket)?.unansweredCount ?? 0) > MAX_UNANSWERED_COUNT;
+  }
+
   /** Whether the connection must be closed after the next answer. */
   mustCloseAfterAnswer(socket: Closable): boolean {
     return this.connections.get(socket)?.isSurplus ?? false;
--- a/packages/adapters/src/http-server.ts
+++ b/packages/adapters/src/http-server.ts
@@ -10,12 +10,20 @@
 import type { Reply, SocketShares } from '@tealdock/controller';
 import type { Connections, ClientKind } from './connections.js';
 import { listen, type ListenEvents } from './listen.js';
+import { MemoryBudget } from './memory-budget.js';
 import { receiveBody } from './receive-body.js';
 
 const CLOSE_IDLE_INTERVAL_MS = 1000;
 const REQUEST_TIMEOUT_MS = 10_000;
 const REPLY_TIMEOUT_MS = 6000;
 const BUSY_RETRY_AFTER_MS = 1000;
+/** Limit of a request's line and headers; those of workers and users are far shorter. */
+const MAX_HEADER_BYTES = 4 * 1024;
+/**
+ * Limit of all bodies that are arriving or whose requests wait for their answer. The reports of
+ * 2,000 machines with 64 tasks each take half of it, all held at a time.
+ */
+const MAX_HELD_BODY_BYTES = 16 * 1024 * 1024;
 
 /** Handles a request whose body is complete, and calls `respond` with the reply. */
 export type RequestHandler = (method: string, path: string, body: Buffer, respond: Respond) => void;
@@ -32,13 +40,17 @@
  */
 export class PublicHttpServer {
   private readonly server: Server;
+  /** Memory of the bodies whose requests have not been answered yet. */
+  private readonly bodyMemory = new MemoryBudget(MAX_HELD_BODY_BYTES);
 
   constructor(
     private readonly handle: RequestHandler,
     private readonly connections: Connections,
     shares: SocketShares,
   ) {
-    this.server = createServer({ noDelay: true }, (req, res) => this.accept(req, res));
+    this.server = createServer({ noDelay: true, maxHeaderSize: MAX_HEADER_BYTES }, (req, res) =>
+      this.accept(req, res),
+    );
     // `Connections` closes idle connections, with a timeout for each kind of client.
     this.server.keepAliveTimeout = 0;
     this.server.headersTimeout = REQUEST_TIMEOUT_MS;
@@ -59,26 +71,40 @@
 
   private accept(req: IncomingMessage, res: ServerResponse): void {
     const { socket } = req;
+    // A connection that is closed below may still have requests in the bytes read from it.
+    if (socket.destroyed) return;
     const isAdmitted = this.connections.admitRequest(socket, clientOf(pathOf(req)));
     if (this.connections.mustCloseAfterAnswer(socket)) res.setHeader('connection', 'close');
     res.on('close', () => this.connections.requestAnswered(socket));
+    if (this.connections.isPipelining(socket)) {
+      socket.destroy();
+      return;
+    }
     if (isAdmitted) return this.receiveBody(req, res);
     req.resume();
     req.on('end', () => write(res, BUSY));
   }
 
   private receiveBody(req: IncomingMessage, res: ServerResponse): void {
+    let heldBytes = 0;
+    res.on('close', () => this.bodyMemory.release(heldBytes));
     req.on('error', () => res.destroy());
     receiveBody(req, {
-      mayKeep: (_addedBytes, length) => {
-        if (length <= MAX_BODY_BYTES) return true;
-        refuseBody(res, BODY_TOO_LONG);
-        return false;
+      mayKeep: (addedBytes, length) => {
+        const problem = length > MAX_BODY_BYTES ? BODY_TOO_LONG : this.reserve(addedBytes);
+        if (problem) refuseBody(res, problem);
+        else heldBytes += addedBytes;
+        return problem === null;
       },
       onComplete: (body) => this.handleWithTimeout(req, body, res),
     });
   }
 
+  /** Reserves memory for a part of a body; if there is none, the reply that says so. */
+  private reserve(byteCount: number): Reply | null {
+    return this.bodyMemory.reserve(byteCount) ? null : BUSY;
+  }
+
   private handleWithTimeout(req: IncomingMessage, body: Buffer, res: ServerResponse): void {
     const timer = setTimeout(() => write(res, BUSY), REPLY_TIMEOUT_MS);
     this.handle(req.method ?? 'GET', pathOf(req), body, (reply) => {
--- a/packages/adapters/src/peer-link.ts
+++ b/packages/adapters/src/peer-link.ts
@@ -12,6 +12,7 @@
 import type { Call, CallResult, Log } from '@tealdock/controller';
 import { splitAddress } from './http-client.js';
 import { listen, type ListenError } from './listen.js';
+import { MemoryBudget } from './memory-budget.js';
 
 const RECONNECT_INTERVAL_MS = 1000;
 const CONNECT_TIMEOUT_MS = 2000;
@@ -20,6 +21,13 @@
 /** A connection with more unsent data than this is closed, since its peer does not read. */
 const MAX_BUFFERED_BYTES = 512 * 1024;
 const MAX_SOCKET_COUNT = 64;
+/** Limit of the memory of all peers' requests that have not been answered yet. */
+const MAX_HELD_REQUEST_BYTES = 4 * 1024 * 1024;
+/** Memory of a request beside its body and path. */
+const REQUEST_OVERHEAD_BYTES = 1024;
+const BUSY_STATUS = 503;
+
+type PeerRequest = Extract<PeerMessage, { kind: 'ask' }>;
 
 /** Callbacks for messages and events from the other controllers. */
 export interface PeerEvents {
@@ -27,10 +35,7 @@
   onBroadcast(message: LeaderBroadcast): void;
   /** Nothing listens on the peer's address: its process is surely not running. */
   onConnectionRefused(member: string): void;
-  onRequest(
-    request: Extract<PeerMessage, { kind: 'ask' }>,
-    respond: (status: number, body: unknown) => void,
-  ): void;
+  onRequest(request: PeerRequest, respond: (status: number, body: unknown) => void): void;
 }
 
 /**
@@ -44,6 +49,7 @@
   /** Callbacks of the requests that have no answer yet, by request id. */
   private readonly pending = new Map<number, (result: CallResult) => void>();
   private lastRequestId = 0;
+  private readonly requestMemory = new MemoryBudget(MAX_HELD_REQUEST_BYTES);
 
   constructor(
     private readonly peers: { member: string; address: string }[],
@@ -143,10 +149,20 @@
         return this.settle(message.id, { kind: 'answer', status: message.status, body });
       }
       case 'ask':
-        return this.events.onRequest(message, (status, body) => {
-          const answer = { kind: 'answer' as const, id: message.id, status, body: packBody(body) };
-          this.write(socket, packPeerMessage(answer));
-        });
+        return this.receiveRequest(socket, message);
     }
   }
+
+  private receiveRequest(socket: Socket, message: PeerRequest): void {
+    const respond = (status: number, body: unknown) => {
+      const answer = { kind: 'answer' as const, id: message.id, status, body: packBody(body) };
+      this.write(socket, packPeerMessage(answer));
+    };
+    const memory = message.body.length + message.path.length + REQUEST_OVERHEAD_BYTES;
+    if (!this.requestMemory.reserve(memory)) return respond(BUSY_STATUS, { error: 'busy' });
+    this.events.onRequest(message, (status, body) => {
+      this.requestMemory.release(memory);
+      respond(status, body);
+    });
+  }
 }
--- a/packages/controller/src/requests/parked-heartbeats.ts
+++ b/packages/controller/src/requests/parked-heartbeats.ts
@@ -7,6 +7,8 @@
 const MAX_WAIT_MS: Duration = 2500;
 /** Limit of parked heartbeats as a share of all connections; the rest serve workers and users. */
 const MAX_PARKED_FRACTION = 1 / 2;
+/** Limit of the tasks in all parked heartbeats, which take most of their memory. */
+const MAX_PARKED_TASK_COUNT = 100_000;
 /** Heartbeats resumed in one batch: a newly started process takes seconds to answer a thousand. */
 const MAX_RESUMED_COUNT = 64;
 
@@ -19,6 +21,7 @@
 /** A queue of heartbeats. Each one leaves it exactly once: it is resumed or it times out. */
 export class ParkedHeartbeats {
   private readonly byRequest = new Map<number, HeartbeatRequest>();
+  private taskCount = 0;
 
   constructor(private readonly runtime: Runtime) {}
 
@@ -27,16 +30,18 @@
   }
 
   get isFull(): boolean {
-    return this.byRequest.size >= this.runtime.settings.maxConnections * MAX_PARKED_FRACTION;
+    const maxCount = this.runtime.settings.maxConnections * MAX_PARKED_FRACTION;
+    return this.byRequest.size >= maxCount || this.taskCount >= MAX_PARKED_TASK_COUNT;
   }
 
   /** Adds a heartbeat; `onTimeout` is called if it is not resumed in time. */
   add(parked: HeartbeatRequest, onTimeout: () => void): void {
     const { id } = parked.request;
     this.byRequest.set(id, parked);
+    this.taskCount += parked.heartbeat.tasks.length;
     this.runtime.stats.count('reports.parked');
     this.runtime.after(MAX_WAIT_MS, () => {
-      if (this.byRequest.delete(id)) onTimeout();
+      if (this.remove(parked)) onTimeout();
     });
   }
 
@@ -47,9 +52,15 @@
   resume(handle: (resumed: HeartbeatRequest) => void): void {
     const resumed = [...this.byRequest.values()].slice(0, MAX_RESUMED_COUNT);
     for (const parked of resumed) {
-      this.byRequest.delete(parked.request.id);
+      this.remove(parked);
       handle(parked);
     }
     if (!this.isEmpty) this.runtime.after(0, () => undefined);
   }
+  /** False if it has left the queue already. */
+  private remove({ request, heartbeat }: HeartbeatRequest): boolean {
+    const wasParked = this.byRequest.delete(request.id);
+    if (wasParked) this.taskCount -= heartbeat.tasks.length;
+    return wasParked;
+  }
 }
--- a/packages/testing/src/smoke.ts
+++ b/packages/testing/src/smoke.ts
@@ -5,17 +5,28 @@
 import assert from 'node:assert/strict';
 import { spawn, spawnSync } from 'node:child_process';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { connect, type Socket } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { HttpClient } from '@tealdock/adapters';
+import { MAX_BODY_BYTES } from '@tealdock/wire';
 import { FakeCloud, FakeState, job } from './index.js';
 import { spawnGuarded } from './soak/child-guard.js';
+import { deployedCommand } from './soak/controller-process.js';
 import { LOOPBACK } from './soak/loopback.js';
 import { listenPortsOf } from './soak/site-times.js';
 import { closeStandIn, serveStandIn } from './soak/stand-in-server.js';
 
 const BUNDLE = 'target/main.cjs';
 const STARTUP_TIMEOUT_MS = 20_000;
+const HOSTILE_BODY_BYTES = 4096;
+const ANNOUNCES_A_LIST = 0xdc;
+const SENDER_COUNT = 8;
+/** Chunks of one byte each, fewer than the limit of a body. */
+const CHUNK_COUNT = 65_000;
+const PIPELINED_COUNT = 50_000;
+/** More unfinished bodies than a node keeps. */
+const UNFINISHED_COUNT = 300;
 
 function settingsText(ports: { http: number; peer: number; state: number; cloud: number }): string {
   return [
@@ -89,6 +100,69 @@
   assert.equal(checked.stderr.toString().trim().split('\n').length, 1);
 }
 
+function connectTo(port: number): Socket {
+  // A connection that the node closes may end with an error; what counts is that it ends.
+  return connect(port, LOOPBACK).on('error', () => undefined);
+}
+
+/** What arrives first on a connection; nothing if it ends before. */
+const firstBytes = (socket: Socket): Promise<Buffer> =>
+  new Promise((resolve) => {
+    socket.once('data', resolve);
+    socket.once('close', () => resolve(Buffer.alloc(0)));
+  });
+const closeOf = (socket: Socket): Promise<void> =>
+  new Promise((resolve) => socket.once('close', () => resolve()));
+
+/** Sends bytes on a new connection and returns the status of the first answer. */
+async function statusOfAnswerTo(port: number, bytes: Buffer): Promise<number> {
+  const socket = connectTo(port);
+  socket.write(bytes);
+  const answer = await firstBytes(socket);
+  socket.destroy();
+  return Number(answer.toString('latin1').split(' ')[1]);
+}
+
+const requestHead = (method: string, path: string, ...headers: string[]): string =>
+  [`${method} ${path} HTTP/1.1`, 'host: node', ...headers, '', ''].join('\r\n');
+
+/** Each of these clients ended a node: out of memory. */
+async function testHostileClients(port: number): Promise<void> {
+  const body = Buffer.alloc(HOSTILE_BODY_BYTES, ANNOUNCES_A_LIST);
+  const head = requestHead('POST', '/api/jobs', `content-length: ${body.length}`);
+  const status = await statusOfAnswerTo(port, Buffer.concat([Buffer.from(head), body]));
+  assert.equal(status, 400, 'a body that announces more than it holds');
+
+  const inChunks = requestHead('POST', '/hello', 'transfer-encoding: chunked');
+  const senders = Array.from({ length: SENDER_COUNT }, () => connectTo(port));
+  for (const sender of senders) sender.write(inChunks + '1\r\nx\r\n'.repeat(CHUNK_COUNT));
+
+  const pipelining = Array.from({ length: SENDER_COUNT }, () => connectTo(port));
+  const closed = pipelining.map(closeOf);
+  const request = requestHead('GET', '/api/jobs/run-000007');
+  for (const client of pipelining) client.resume().write(request.repeat(PIPELINED_COUNT));
+  await Promise.all(closed);
+
+  assert.ok(await isHealthy(port), 'unhealthy beside hostile clients');
+  for (const sender of senders) sender.destroy();
+  await testHeldBodies(port);
+}
+
+/** Bodies that never end fill the memory for bodies, but only as long as their senders stay. */
+async function testHeldBodies(port: number): Promise<void> {
+  const head = requestHead('POST', '/hello', `content-length: ${MAX_BODY_BYTES}`);
+  const unfinished = Buffer.concat([Buffer.from(head), Buffer.alloc(MAX_BODY_BYTES - 1)]);
+  const senders = Array.from({ length: UNFINISHED_COUNT }, () => connectTo(port));
+  const refused = Promise.race(senders.map(firstBytes));
+  for (const sender of senders) sender.write(unfinished);
+  const answer = await refused;
+  assert.match(answer.toString('latin1'), /^HTTP\/1.1 503 /);
+  assert.ok(await isHealthy(port), 'unhealthy while bodies fill the memory');
+  for (const sender of senders) sender.destroy();
+  const heartbeat = requestHead('POST', '/hello', 'content-length: 1') + '\x00';
+  assert.equal(await statusOfAnswerTo(port, Buffer.from(heartbeat)), 400);
+}
+
 async function main(): Promise<void> {
   const folder = mkdtempSync(join(tmpdir(), 'tealdock-smoke-'));
   const now = () => performance.now();
@@ -107,13 +181,14 @@
   };
   const file = join(folder, 'node.toml');
   writeFileSync(file, settingsText(ports));
-  const node = spawnGuarded(process.execPath, [BUNDLE, 'serve', '--config', file], {
-    stdio: 'ignore',
-  });
+  const [program, args] = deployedCommand();
+  const node = spawnGuarded(program, [...args, file], { stdio: 'ignore' });
   try {
     await waitUntilHealthy(ports.http);
     await testCommands(`${LOOPBACK}:${ports.http}`, folder);
     testInvalidSettings(folder);
+    await testHostileClients(ports.http);
+    assert.equal(node.exitCode ?? node.signalCode, null, 'the node ended');
     process.stdout.write('smoke: the built service starts, answers and checks its settings\n');
   } finally {
     node.kill('SIGKILL');
--- a/packages/testing/src/soak/controller-process.ts
+++ b/packages/testing/src/soak/controller-process.ts
@@ -8,7 +8,7 @@
 const DEPLOY_FILE = 'deploy/service.toml';
 
 /** Program and arguments from the deploy file; the caller appends the path of the settings file. */
-function deployedCommand(): [program: string, args: string[]] {
+export function deployedCommand(): [program: string, args: string[]] {
   const { run } = parseToml(readFileSync(DEPLOY_FILE, 'utf8'));
   if (typeof run !== 'string') throw new TypeError(`${DEPLOY_FILE}: run is missing`);
   const [program = '', ...args] = run.split(' ');
--- a/packages/testing/src/unit/hostile-messages.test.ts
+++ b/packages/testing/src/unit/hostile-messages.test.ts
@@ -1,6 +1,5 @@
 import assert from 'node:assert/strict';
 import { spawnSync } from 'node:child_process';
-import { readFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { test } from 'node:test';
 import { packBody, parseCancellations, parseHeartbeat, unpackBody } from '@tealdock/wire';
@@ -10,12 +9,11 @@
   INVALID_LISTS,
   type HostileMessage,
 } from './hostile-messages.js';
+import { deployedCommand } from '../soak/controller-process.js';
 import { HOSTILE_PIECES } from './hostile-pieces.js';
 
 /** The heap of a controller in MB, from the deploy file. */
-const HEAP_MB = Number(
-  /--max-old-space-size=(\d+)/.exec(readFileSync('deploy/service.toml', 'utf8'))?.[1],
-);
+const HEAP_MB = Number(/--max-old-space-size=(\d+)/.exec(deployedCommand()[1].join(' '))?.[1]);
 /** A whole process with one message must live in this share of it, beside a controller's state. */
 const HEAP_SHARE = 1 / 4;
 /**
