Answers have limits by kind, and a too large one is not asked for again as it was

Cause: one limit for all, and a result that does not say that asking again is useless. Change: 64 KiB for workers' answers, 1 MiB for pages and the cloud, 4 MiB for watches; what exceeds its limit or the decoding bound is 'too_large'. A watch is then replaced by reading its keys, a page is read in halves, a commit counts as perhaps executed. Refused and malformed requests are counted (requests.malformed, .too_long, .no_memory, connections.pipelining), malformed ones logged at debug.

--- a/packages/adapters/src/http-client.ts
+++ b/packages/adapters/src/http-client.ts
@@ -1,11 +1,11 @@
 /** HTTP requests to other processes. */
 import { Agent, request, type IncomingMessage } from 'node:http';
-import { WireError, packBody, unpackBody, type Duration } from '@tealdock/wire';
+import { TooLargeError, WireError, packBody, unpackBody, type Duration } from '@tealdock/wire';
 import type { CallResult } from '@tealdock/controller';
 import { receiveBody } from './receive-body.js';
 
-/** A longer response is not read and counts as lost; only those to watches come near this. */
-const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+/** Limit of an answer unless the call has another; pages of stored keys come nearest, with half. */
+const DEFAULT_MAX_ANSWER_BYTES = 1024 * 1024;
 const MAX_PORT = 65_535;
 /** The lowest status of an error. */
 const MIN_ERROR_STATUS = 400;
@@ -19,6 +19,8 @@
   /** Sent as MessagePack; null for a request without a body. */
   body: unknown;
   timeout: Duration;
+  /** A longer answer is not read: the result is `too_large`. */
+  maxAnswerBytes?: number;
 }
 
 /** Splits an address in the form `host:port`. */
@@ -78,7 +80,9 @@
       settle({ kind: 'lost' });
       outgoing.destroy();
     }, call.timeout);
-    outgoing.on('response', (response) => readAnswer(response, settle));
+    outgoing.on('response', (response) =>
+      readAnswer(response, call.maxAnswerBytes ?? DEFAULT_MAX_ANSWER_BYTES, settle),
+    );
     outgoing.on('error', (error: NodeJS.ErrnoException) =>
       settle(error.code === 'ECONNREFUSED' ? { kind: 'unsent' } : { kind: 'lost' }),
     );
@@ -86,16 +90,22 @@
   }
 }
 
-function readAnswer(response: IncomingMessage, settle: (result: CallResult) => void): void {
+function readAnswer(
+  response: IncomingMessage,
+  maxBytes: number,
+  settle: (result: CallResult) => void,
+): void {
   response.on('error', () => settle({ kind: 'lost' }));
   response.on('close', () => settle({ kind: 'lost' }));
+  const status = response.statusCode ?? 0;
   receiveBody(response, {
     mayKeep: (_addedBytes, length) => {
-      if (length <= MAX_ANSWER_BYTES) return true;
+      if (length <= maxBytes) return true;
+      settle(unreadable(status, 'too_large'));
       response.destroy();
       return false;
     },
-    onComplete: (payload) => settle(resultOf(response.statusCode ?? 0, payload)),
+    onComplete: (payload) => settle(resultOf(status, payload)),
   });
 }
 
@@ -105,7 +115,11 @@
     return { kind: 'answer', status, body };
   } catch (error) {
     if (!(error instanceof WireError)) throw error;
-    // Without a readable body, only an error status shows the outcome: nothing was executed.
-    return status >= MIN_ERROR_STATUS ? { kind: 'answer', status, body: null } : { kind: 'lost' };
+    return unreadable(status, error instanceof TooLargeError ? 'too_large' : 'lost');
   }
 }
+
+/** Without a readable body, only an error status shows the outcome: nothing was executed. */
+function unreadable(status: number, kind: 'too_large' | 'lost'): CallResult {
+  return status >= MIN_ERROR_STATUS ? { kind: 'answer', status, body: null } : { kind };
+}
--- a/packages/adapters/src/http-server.ts
+++ b/packages/adapters/src/http-server.ts
@@ -7,7 +7,7 @@
   type ServerResponse,
 } from 'node:http';
 import { HEALTH_PATH, MAX_BODY_BYTES, HEARTBEAT_PATH, packBody, secondsOf } from '@tealdock/wire';
-import type { Reply, SocketShares } from '@tealdock/controller';
+import type { Reply, SocketShares, Stats } from '@tealdock/controller';
 import type { Connections, ClientKind } from './connections.js';
 import { listen, type ListenEvents } from './listen.js';
 import { MemoryBudget } from './memory-budget.js';
@@ -47,6 +47,7 @@
     private readonly handle: RequestHandler,
     private readonly connections: Connections,
     shares: SocketShares,
+    private readonly stats: Pick<Stats, 'count'>,
   ) {
     this.server = createServer({ noDelay: true, maxHeaderSize: MAX_HEADER_BYTES }, (req, res) =>
       this.accept(req, res),
@@ -77,6 +78,7 @@
     if (this.connections.mustCloseAfterAnswer(socket)) res.setHeader('connection', 'close');
     res.on('close', () => this.connections.requestAnswered(socket));
     if (this.connections.isPipelining(socket)) {
+      this.stats.count('connections.pipelining');
       socket.destroy();
       return;
     }
@@ -91,7 +93,7 @@
     req.on('error', () => res.destroy());
     receiveBody(req, {
       mayKeep: (addedBytes, length) => {
-        const problem = length > MAX_BODY_BYTES ? BODY_TOO_LONG : this.reserve(addedBytes);
+        const problem = this.problemOfBody(addedBytes, length);
         if (problem) refuseBody(res, problem);
         else heldBytes += addedBytes;
         return problem === null;
@@ -100,9 +102,15 @@
     });
   }
 
-  /** Reserves memory for a part of a body; if there is none, the reply that says so. */
-  private reserve(byteCount: number): Reply | null {
-    return this.bodyMemory.reserve(byteCount) ? null : BUSY;
+  /** Null, and the added bytes are reserved, if they may be kept; else the reply that refuses. */
+  private problemOfBody(addedBytes: number, length: number): Reply | null {
+    if (length > MAX_BODY_BYTES) return this.countRefusal('too_long', BODY_TOO_LONG);
+    return this.bodyMemory.reserve(addedBytes) ? null : this.countRefusal('no_memory', BUSY);
+  }
+
+  private countRefusal(reason: string, reply: Reply): Reply {
+    this.stats.count(`requests.${reason}`);
+    return reply;
   }
 
   private handleWithTimeout(req: IncomingMessage, body: Buffer, res: ServerResponse): void {
--- a/packages/adapters/src/outgoing-calls.ts
+++ b/packages/adapters/src/outgoing-calls.ts
@@ -1,5 +1,5 @@
 /** The state owner's calls to other processes. */
-import type { Settings } from '@tealdock/wire';
+import { MAX_BODY_BYTES, isWatchPath, type Settings } from '@tealdock/wire';
 import {
   CLOUD_SOCKET_COUNT,
   STATE_SOCKET_COUNT,
@@ -16,6 +16,10 @@
 /** The lowest status of a server error. */
 const MIN_SERVER_ERROR_STATUS = 500;
 const TOO_MANY_REQUESTS_STATUS = 429;
+/** Limit of an answer to a watch, which holds all changes; beyond it the keys are read by pages. */
+const MAX_CHANGES_BYTES = 4 * 1024 * 1024;
+/** Limit of other answers of the state service, whose pages have 512 KiB, and of the cloud. */
+const MAX_PAGE_BYTES = 1024 * 1024;
 
 /** Dependencies of `OutgoingCalls`. */
 export interface OutgoingCallsDependencies {
@@ -83,7 +87,9 @@
     onResult: (result: CallResult) => void,
   ): void {
     const { method, path, body, timeout } = call;
-    client.send({ ...splitAddress(address), method, path, body, timeout }, (result) => {
+    const maxAnswerBytes = maxAnswerBytesOf(call);
+    const httpCall = { ...splitAddress(address), method, path, body, timeout, maxAnswerBytes };
+    client.send(httpCall, (result) => {
       this.recordOutcome(call, result);
       onResult(result);
     });
@@ -98,6 +104,11 @@
   }
 }
 
+function maxAnswerBytesOf({ target, path }: Call): number {
+  if (target === 'worker') return MAX_BODY_BYTES;
+  return target === 'state' && isWatchPath(path) ? MAX_CHANGES_BYTES : MAX_PAGE_BYTES;
+}
+
 function isFailure(result: CallResult): boolean {
   if (result.kind !== 'answer') return true;
   return result.status >= MIN_SERVER_ERROR_STATUS || result.status === TOO_MANY_REQUESTS_STATUS;
--- a/packages/adapters/src/service.ts
+++ b/packages/adapters/src/service.ts
@@ -56,6 +56,7 @@
         this.pushRequest({ via: 'public', method, path, body }, respond),
       this.connections,
       shares,
+      stats,
     );
     this.peers = new PeerLink(
       settings.peers,
--- a/packages/controller/src/requests/replies.ts
+++ b/packages/controller/src/requests/replies.ts
@@ -38,9 +38,17 @@
 /** Replies to a request whose body could not be decoded; rethrows any error but a `WireError`. */
 export function replyMalformed(runtime: Runtime, request: HttpRequest, error: unknown): void {
   if (!(error instanceof WireError)) throw error;
+  recordMalformed(runtime, request, error);
   runtime.reply(request.id, errorReply(400, error.message));
 }
 
+/** Counts and logs a request whose body could not be decoded. */
+export function recordMalformed(runtime: Runtime, request: HttpRequest, error: WireError): void {
+  runtime.stats.count('requests.malformed');
+  const { path, body } = request;
+  runtime.log('debug', { path, bytes: body.length, error: error.message }, 'malformed request');
+}
+
 /** Redirects a worker to the leader, or to any other node if `leader` is null. */
 export function replyRedirect(runtime: Runtime, requestId: number, leader: string | null): void {
   runtime.stats.count('reports.redirected');
--- a/packages/controller/src/requests/submissions.ts
+++ b/packages/controller/src/requests/submissions.ts
@@ -18,7 +18,13 @@
 import type { StateStore } from '../state/state-store.js';
 import { endedValue, fitsValue, type LiveValue } from '../state/stored-values.js';
 import type { JobStatus } from './job-status.js';
-import { errorReply, jobReply, unavailableReply, type Respond } from './replies.js';
+import {
+  errorReply,
+  jobReply,
+  recordMalformed,
+  unavailableReply,
+  type Respond,
+} from './replies.js';
 
 /** Accepts jobs. A job is accepted once the state service has committed its key. */
 export class Submissions {
@@ -39,6 +45,7 @@
       spec = parseSubmission(body);
     } catch (error) {
       if (!(error instanceof WireError)) throw error;
+      recordMalformed(this.runtime, request, error);
       return this.refuseUnlessKnown(submissionId(body), errorReply(400, error.message), respond);
     }
     const refusal = this.refusalOf(spec);
--- a/packages/controller/src/runtime/ports.ts
+++ b/packages/controller/src/runtime/ports.ts
@@ -50,10 +50,14 @@
 
 /**
  * Outcome of a call. `answer`: a response arrived. `unsent`: the call was surely not executed.
- * `lost`: there was no response, so the call may have been executed or may still be.
+ * `lost`: there was no response, so the call may have been executed or may still be. `too_large`: a
+ * response without an error arrived, but this process does not take messages of its size.
  */
 export type CallResult =
-  { kind: 'answer'; status: number; body: unknown } | { kind: 'unsent' } | { kind: 'lost' };
+  | { kind: 'answer'; status: number; body: unknown }
+  | { kind: 'unsent' }
+  | { kind: 'lost' }
+  | { kind: 'too_large' };
 
 /** The reply to a request. */
 export interface Reply {
--- a/packages/controller/src/state/state-calls.ts
+++ b/packages/controller/src/state/state-calls.ts
@@ -53,9 +53,11 @@
     );
   }
 
-  /** No answer or a 5xx is a failure; a 429 (rate limit) says nothing about availability. */
+  /** No answer or a 5xx is a failure, but not one that is too large; a 429 (rate limit) says nothing about availability. */
   private recordOutcome(result: CallResult): void {
-    if (result.kind !== 'answer' || result.status >= 500) this.failingFrom ??= this.runtime.now;
+    if (result.kind === 'too_large') this.failingFrom = null;
+    else if (result.kind !== 'answer' || result.status >= 500)
+      this.failingFrom ??= this.runtime.now;
     else if (result.status !== 429) this.failingFrom = null;
   }
 }
--- a/packages/controller/src/state/state-results.ts
+++ b/packages/controller/src/state/state-results.ts
@@ -32,10 +32,14 @@
 export type CompareResult =
   { kind: 'equal' } | { kind: 'changed'; changedKeys: string[] } | { kind: 'unknown' };
 
-/** Result of a watch; `too_old`: the service no longer has all changes since the revision. */
+/**
+ * Result of a watch. `too_old`: the service no longer has all changes since the revision.
+ * `too_many`: they are more than this process takes at once. The keys must then be read again.
+ */
 export type WatchResult =
   | { kind: 'events'; revision: number; events: StateEvent[] }
   | { kind: 'too_old' }
+  | { kind: 'too_many' }
   | { kind: 'failed' };
 
 /** Result of a request for a lease; `failed`: a lease may exist, but nothing will use it. */
--- a/packages/controller/src/state/state-store.ts
+++ b/packages/controller/src/state/state-store.ts
@@ -92,24 +92,29 @@
     return value;
   }
 
-  /** Reads all items with the prefix, page by page; fails if any page does. */
+  /**
+   * Reads all items with the prefix, page by page; fails if any page does. A page that is too large
+   * is read again with half as many items.
+   */
   readAll(prefix: string, priority: CallPriority, onResult: (read: RangeReadResult) => void): void {
     const items: StateItem[] = [];
     let firstRevision: number | null = null;
-    const readPage = (afterKey: string) => {
-      const path = keyPagePath(prefix, afterKey, PAGE_SIZE_LIMIT);
+    const readPage = (afterKey: string, sizeLimit: number) => {
+      const path = keyPagePath(prefix, afterKey, sizeLimit);
       this.calls.send({ method: 'GET', path, priority }, (result) => {
+        if (result.kind === 'too_large' && sizeLimit > 1)
+          return readPage(afterKey, Math.ceil(sizeLimit / 2));
         const page = parseResponse(result, parseItems);
         if (!page) return onResult({ kind: 'failed' });
         items.push(...page.items);
         firstRevision ??= page.revision;
         const last = page.items.at(-1);
-        if (page.more && last) return readPage(last.key);
+        if (page.more && last) return readPage(last.key, sizeLimit);
         // The first page's revision: a watch from there misses no change, but may repeat some.
         onResult({ kind: 'ok', items, revision: firstRevision });
       });
     };
-    readPage('');
+    readPage('', PAGE_SIZE_LIMIT);
   }
 
   /** Executes all writes, or none if a precondition does not hold. */
@@ -181,6 +186,7 @@
     const timeout = waitTime + WATCH_TIMEOUT_MARGIN_MS;
     this.calls.send({ method: 'GET', path, priority, timeout }, (result) => {
       if (result.kind === 'answer' && result.status === 410) return onResult({ kind: 'too_old' });
+      if (result.kind === 'too_large') return onResult({ kind: 'too_many' });
       const changes = parseResponse(result, parseChanges);
       onResult(changes ? { kind: 'events', ...changes } : { kind: 'failed' });
     });
@@ -188,7 +194,7 @@
 }
 
 function commitResult(result: CallResult): CompareAndSwapResult {
-  if (result.kind === 'lost') return { kind: 'unknown' };
+  if (result.kind === 'lost' || result.kind === 'too_large') return { kind: 'unknown' };
   if (result.kind === 'unsent') return { kind: 'refused' };
   if (result.status === 409) return { kind: 'conflict' };
   if (result.status === 400 && /lease/.test(JSON.stringify(result.body)))
--- a/packages/controller/src/term/job-watch.ts
+++ b/packages/controller/src/term/job-watch.ts
@@ -56,7 +56,7 @@
       if (this.term.closed) return;
       if (watched.kind === 'failed')
         return this.runtime.after(RETRY_DELAY_MS, () => this.watchFrom(revision));
-      if (watched.kind === 'too_old') return this.reread();
+      if (watched.kind !== 'events') return this.reread();
       this.recordRead(requestedAt);
       this.logChanges(watched.revision, watched.events.length);
       for (const event of watched.events) this.applyEvent(event);
@@ -64,7 +64,7 @@
     });
   }
 
-  /** Reads all live jobs again, because the watch's revision is too old for the state service. */
+  /** Reads all live jobs again, because the changes since the watch's revision can't be had. */
   private reread(): void {
     if (this.term.closed) return;
     const requestedAt = this.runtime.now;
--- a/packages/testing/src/unit/hostile-messages.ts
+++ b/packages/testing/src/unit/hostile-messages.ts
@@ -25,7 +25,7 @@
   readCount?: number;
 }
 
-/** The longest answer of the state service that is read; an answer to a watch may come near it. */
+/** Twice the longest answer that is read, of a watch of the state service. */
 const ANSWER_BYTES = 8 * 1024 * 1024;
 
 /** Announces a list of 56,540 elements every three bytes. */
--- a/packages/testing/src/unit/hostile-pieces.ts
+++ b/packages/testing/src/unit/hostile-pieces.ts
@@ -4,8 +4,8 @@
 import { MAX_BODY_BYTES, PeerDecoder, packPeerMessage } from '@tealdock/wire';
 import type { HostileMessage } from './hostile-messages.js';
 
-/** The longest answer that is read. */
-const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+/** Twice the longest answer that is read, of a watch of the state service. */
+const ANSWER_BYTES = 8 * 1024 * 1024;
 /** A peer's frame just below the longest that is read. */
 const FRAME_BODY_BYTES = 255 * 1024;
 const SENDER_COUNT = 4;
@@ -51,8 +51,8 @@
     readCount: READ_COUNT,
   },
   'a long answer': {
-    bytes: () => Buffer.alloc(MAX_ANSWER_BYTES, 'answer'),
-    decode: (bytes) => receiveInPieces(bytes, 1, MAX_ANSWER_BYTES / PIECE_COUNT),
+    bytes: () => Buffer.alloc(ANSWER_BYTES, 'answer'),
+    decode: (bytes) => receiveInPieces(bytes, 1, ANSWER_BYTES / PIECE_COUNT),
     refusedWith: null,
     readCount: READ_COUNT,
   },
--- a/packages/wire/src/state.ts
+++ b/packages/wire/src/state.ts
@@ -63,9 +63,12 @@
 /** The path of the page of keys with a prefix that follows the key `after`; '' for the first. */
 export const keyPagePath = (prefix: string, after: string, limit: number): string =>
   `/keys?starts=${prefix}&most=${limit}${after ? `&after=${after}` : ''}`;
+const CHANGES_PATH = '/changes';
+/** Whether a path is that of a watch. */
+export const isWatchPath = (path: string): boolean => path.startsWith(CHANGES_PATH);
 /** The path of a watch that waits up to `timeout` for changes after a revision. */
 export const watchPath = (prefix: string, afterRevision: number, timeout: Duration): string =>
-  `/changes?starts=${prefix}&after=${afterRevision}&hold_ms=${timeout}`;
+  `${CHANGES_PATH}?starts=${prefix}&after=${afterRevision}&hold_ms=${timeout}`;
 /** The path that renews a lease (POST). */
 export const renewPath = (lease: number): string => `${LEASES_PATH}/${lease}/renew`;
 /** The path of one lease. */
