Calls to an address that is none are not sent, and end no process

Cause: only the range of the port was checked; the library throws for the rest when the request is made. Fix: such a call has the result 'unsent', as if nothing listened there. Result: the test of twelve addresses in http-client.test.ts fails before and passes now.

--- a/packages/adapters/src/http-client.ts
+++ b/packages/adapters/src/http-client.ts
@@ -7,6 +7,8 @@
 /** Limit of an answer unless the call has another; pages of stored keys come nearest, with half. */
 const DEFAULT_MAX_ANSWER_BYTES = 1024 * 1024;
 const MAX_PORT = 65_535;
+/** Host names and IP addresses; many other characters make a request throw. */
+const HOST_PATTERN = /^[\w.:[\]-]+$/;
 /** The lowest status of an error. */
 const MIN_ERROR_STATUS = 400;
 
@@ -56,8 +58,8 @@
 
   /** Like `request`, but passes the result to a callback without the extra turn of a promise. */
   send(call: HttpCall, onResult: (result: CallResult) => void): void {
-    // Workers report their own addresses, so one with an invalid port must not throw here.
-    if (!(call.port > 0 && call.port <= MAX_PORT)) return onResult({ kind: 'unsent' });
+    // Workers report their own addresses, so an invalid one must not throw here.
+    if (!isValidAddress(call)) return onResult({ kind: 'unsent' });
     let isSettled = false;
     const settle = (result: CallResult) => {
       if (isSettled) return;
@@ -90,6 +92,9 @@
   }
 }
 
+const isValidAddress = ({ host, port }: HttpCall): boolean =>
+  HOST_PATTERN.test(host) && Number.isInteger(port) && port > 0 && port <= MAX_PORT;
+
 function readAnswer(
   response: IncomingMessage,
   maxBytes: number,
--- a/packages/testing/src/unit/http-client.test.ts
+++ b/packages/testing/src/unit/http-client.test.ts
@@ -2,7 +2,7 @@
 import { createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { test } from 'node:test';
-import { HttpClient } from '@tealdock/adapters';
+import { HttpClient, splitAddress } from '@tealdock/adapters';
 import type { CallResult } from '@tealdock/controller';
 import { packBody } from '@tealdock/wire';
 import { LOOPBACK } from '../soak/loopback.js';
@@ -50,3 +50,14 @@
   assert.deepEqual(await resultOf(503, INDEX_KEYS), error);
   assert.deepEqual(await resultOf(503, ANNOUNCED_LIST), error);
 });
+
+// A worker that reported the address "10.0.0.1:1.5" ended the leader that sent it a stop.
+test('a call to an address that is none is not sent, and throws nothing', async () => {
+  const client = new HttpClient(1);
+  const invalid = ['', 'a', 'a:', ':1', 'a:0', 'a:1.5', 'a:65536', 'a\nb:1', 'a b:1', 'é€:1'];
+  for (const address of [...invalid, '\u0000:1', '[::1\r\nx: y]:1']) {
+    const call = { ...splitAddress(address), method: 'POST', path: '/', body: {}, timeout: 1000 };
+    assert.deepEqual(await client.request(call), { kind: 'unsent' }, JSON.stringify(address));
+  }
+  client.close();
+});
