A machine id that can be no key of a stored map is refused

Cause: ids from heartbeats become keys of a stored map. Fix: a heartbeat with this id is refused with 400; ids of jobs, the only other keys, are checked already.

--- a/packages/testing/src/unit/hostile-messages.test.ts
+++ b/packages/testing/src/unit/hostile-messages.test.ts
@@ -74,6 +74,16 @@
   assert.throws(() => parseCancellations({ jobs }), { message: /^jobs: Too big/ });
 });
 
+// A registry with this machine could be written, but no leader could read it again.
+test('a machine whose id can be no key of a stored map is refused', () => {
+  const heartbeat = { host: '__proto__', addr: 'a', flavour: 'g', hall: 'a', spare: true };
+  const counts = { shift: 1, tally: 1, fence: 0, batch: [] };
+  assert.throws(() => parseHeartbeat({ ...heartbeat, ...counts }), { message: /^host: / });
+  assert.equal(parseHeartbeat({ ...heartbeat, ...counts, host: 'm-1' }).machine, 'm-1');
+  const entries = Object.fromEntries([['__proto__', 1]]);
+  assert.throws(() => unpackBody(packBody({ entries })), { name: 'WireError' });
+});
+
 test('the bound lets every form of value through', () => {
   const values = [
     [0, 127, 128, 65_535, 65_536, 2 ** 32, 2 ** 53 - 1, -1, -32, -33, -129, -40_000, -(2 ** 40)],
--- a/packages/wire/src/workers.ts
+++ b/packages/wire/src/workers.ts
@@ -32,9 +32,17 @@
   no_such: 'unknown',
 };
 
+/** The decoder refuses maps with this key, and machines are keys in the stored registry. */
+const FORBIDDEN_KEY = '__proto__';
+
 const count = z.number().int().nonnegative();
+const machineId = z
+  .string()
+  .min(1)
+  .max(150)
+  .refine((id) => id !== FORBIDDEN_KEY);
 const heartbeatSchema = z.object({
-  host: z.string().min(1).max(150),
+  host: machineId,
   addr: z.string().min(1).max(200),
   flavour: z.string().min(1),
   hall: z.string().min(1),
