Tests of hostile messages in one table, by the failure that each guards against

Cause: the cases stood in two files with long entries, and the child that decodes them looked them up in a merged list of names. Change: one file and one table of groups; each group has a line that names the failure.

--- a/packages/testing/src/unit/hostile-message-child.ts
+++ b/packages/testing/src/unit/hostile-message-child.ts
@@ -1,11 +1,10 @@
-/** Decodes one hostile message, named by the argument, and prints the outcome as JSON. */
+/** Decodes the hostile message that the arguments name, and prints the outcome as JSON. */
 import { HOSTILE_MESSAGES } from './hostile-messages.js';
-import { HOSTILE_PIECES } from './hostile-pieces.js';
 
 const MICROSECONDS_PER_MS = 1000;
 
-const messages = { ...HOSTILE_MESSAGES, ...HOSTILE_PIECES };
-const message = messages[process.argv[2] ?? '']!;
+const [group = '', name = ''] = process.argv.slice(2);
+const message = HOSTILE_MESSAGES[group]![name]!;
 const bytes = message.bytes();
 let refusedWith: string | null = null;
 const before = process.cpuUsage();
