--- a/packages/controller/src/state/state-calls.ts
+++ b/packages/controller/src/state/state-calls.ts
@@ -53,7 +53,10 @@
     );
   }
 
-  /** No answer or a 5xx is a failure, but not one that is too large; a 429 (rate limit) says nothing about availability. */
+  /**
+   * No answer or a 5xx is a failure, an answer that is too large is none; a 429 (rate limit) says
+   * nothing about availability.
+   */
   private recordOutcome(result: CallResult): void {
     if (result.kind === 'too_large') this.failingFrom = null;
     else if (result.kind !== 'answer' || result.status >= 500)
