--- a/review/lib-2/link.mjs
+++ b/review/lib-2/link.mjs
@@ -1,4 +1,3 @@
- 
 /** A TCP proxy on loopback that can hold what it carries and deliver it later, or reset it. */
 import { connect, createServer } from 'node:net';
 
--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -77,7 +77,12 @@
     this.state = new StateService({ rps, writeRps: write_rps, valueKb: value_kb, txnOps: txn_ops });
     this.cloud = new Cloud(options.types, options.capacity);
     process.on('exit', () => this.endProcesses());
-    for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.on(signal, () => process.exit(2));
+    for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP'])
+      process.on(signal, () => {
+        this.record(`ended by ${signal}`);
+        this.writeRecord();
+        process.exit(2);
+      });
   }
 
   /** Adds a line to the record. @param {string} what @param {unknown} [fields] */
