--- a/review/5/test.mjs
+++ b/review/5/test.mjs
@@ -1,4 +1,3 @@
- 
 /** A valid job gets the final answer 422 from a controller that knows some machine types only. */
 import { fileURLToPath } from 'node:url';
 import { CaseError, runCase, sleep } from '../lib-2/site.mjs';
