Placement counts what a machine's heartbeat can name, so that no lease ends for its size

Cause: placement, gangs and renting counted CPUs and memory, not the 64 KiB in which a heartbeat has to name every task. Over that it is refused, so the lease ends, and the same tasks start again. Change: heartbeat-size.ts derives the budget from the protocol's limit, in its JSON form and with the longest entry of each task; it is a resource of machines as CPUs are, which all decisions ask for. Answers, direct commands and answers under a grant carry what fits; an answer that can't carry all stops of ended jobs is not sent, and the stops go directly. Why it works: a task's entry can't grow beyond what was counted, and a machine gets work only after a heartbeat with the leader's own token, which names everything.

--- a/packages/controller/src/autoscaling/fleet-capacity.ts
+++ b/packages/controller/src/autoscaling/fleet-capacity.ts
@@ -1,5 +1,10 @@
 /** Free capacity of the fleet, including machines that are being provisioned or requested. */
-import type { FreeCapacity, MachinePool, Resources } from '@tealdock/scheduler';
+import {
+  machineResources,
+  type FreeCapacity,
+  type MachinePool,
+  type Resources,
+} from '@tealdock/scheduler';
 import type { Machine } from '../machines/machine.js';
 import type { MachineTypes } from '../placement/fleet-policy.js';
 import type { Runtime } from '../runtime/runtime.js';
@@ -28,16 +33,20 @@
     const { term, catalog, inventory, rentals } = this.dependencies;
     const types = new Map(catalog.types.map((type) => [type.name, type]));
     const capacities: FreeCapacity[] = [];
-    const add = ({ type, zone, spot }: MachinePool, free: Resources | undefined) => {
-      if (free && free.cpus > 0 && free.memoryGb > 0) capacities.push({ type, zone, spot, free });
+    const add = ({ type, zone, spot }: MachinePool, free: Resources) => {
+      if (free.cpus > 0 && free.memoryGb > 0) capacities.push({ type, zone, spot, free });
+    };
+    const addNew = (pool: MachinePool) => {
+      const type = types.get(pool.type);
+      if (type) add(pool, machineResources(type, pool.zone));
     };
     for (const machine of term.machines.values()) {
       const type = types.get(machine.type);
       if (type && this.isUsable(machine)) add(machine, machine.free(type));
     }
-    for (const machine of inventory.provisioning.values()) add(machine, types.get(machine.type));
+    for (const machine of inventory.provisioning.values()) addNew(machine);
     for (const rental of rentals.pending) {
-      for (let i = 0; i < rental.count; i++) add(rental, types.get(rental.type));
+      for (let i = 0; i < rental.count; i++) addNew(rental);
     }
     return capacities;
   }
--- a/packages/controller/src/jobs/binding.test.ts
+++ b/packages/controller/src/jobs/binding.test.ts
@@ -2,11 +2,15 @@
 import { test } from 'node:test';
 import { Binding } from './binding.js';
 
-const RESOURCES = { cpus: 2, gpus: 1, memoryGb: 8 };
+/** The longest entry of attempt 7 of task `j/0`: `{"piece":"j/0","try_no":7,"status":"exited","reason":"stopped"},` */
+const HEARTBEAT_BYTES = 64;
+const RESOURCES = { cpus: 2, gpus: 1, memoryGb: 8, heartbeatBytes: HEARTBEAT_BYTES };
+
+const PLAIN = { isGang: false, mayBeSaved: false };
 
 const INITIAL = {
   identity: { task: 'j/0', job: 'j', index: 0, attempt: 7, machine: 'm-1' },
-  requirements: { team: 'red', resources: RESOURCES, image: 'img', imageGb: 4 },
+  requirements: { team: 'red', resources: RESOURCES, image: 'img', imageGb: 4, entryForm: PLAIN },
   now: 100,
   observer: {
     applyUsageChange: (_: Binding, apply: () => void) => apply(),
--- a/packages/controller/src/jobs/binding.ts
+++ b/packages/controller/src/jobs/binding.ts
@@ -1,5 +1,5 @@
 /** A binding: one attempt of a task on one machine, from its assignment to its proven end. */
-import type { Duration, Instant } from '@tealdock/wire';
+import { maxTaskEntryBytes, type Duration, type Instant } from '@tealdock/wire';
 import type { Resources } from '@tealdock/scheduler';
 import { observedPhase, type ActiveTaskState, type BindingPhase } from './binding-phase.js';
 import type { TaskRequirements } from './task-requirements.js';
@@ -61,6 +61,8 @@
   /** True if it must not be stopped in favour of other tasks. */
   readonly isProtectedFromPreemption: boolean;
   private readonly observer: BindingObserver;
+  /** The most bytes that this attempt takes in heartbeats, until the worker forgets it. */
+  private readonly heartbeatBytes: number;
   private currentPhase: BindingPhase;
   private currentTeam: string;
   private currentResources: Resources;
@@ -78,7 +80,8 @@
     this.image = requirements.image;
     this.imageGb = requirements.imageGb;
     this.currentTeam = requirements.team;
-    this.currentResources = requirements.resources;
+    this.heartbeatBytes = maxTaskEntryBytes(this.task, this.attempt, requirements.entryForm);
+    this.currentResources = { ...requirements.resources, heartbeatBytes: this.heartbeatBytes };
     this.assignedAt = initial.now;
     this.observer = initial.observer;
     this.currentPhase = origin.phase;
@@ -154,7 +157,7 @@
     return this.currentTeam;
   }
 
-  /** Zero until the job has been looked up. */
+  /** Nothing but bytes of heartbeats until the job has been looked up. */
   get resources(): Resources {
     return this.currentResources;
   }
@@ -202,7 +205,7 @@
   setUsage(team: string, resources: Resources): void {
     this.observer.applyUsageChange(this, () => {
       this.currentTeam = team;
-      this.currentResources = resources;
+      this.currentResources = { ...resources, heartbeatBytes: this.heartbeatBytes };
     });
   }
 
--- a/packages/controller/src/leadership/delegated-renewal.ts
+++ b/packages/controller/src/leadership/delegated-renewal.ts
@@ -1,5 +1,6 @@
 /** Renewal of worker leases by a follower, on behalf of a leader that the workers can't reach. */
 import {
+  CommandBudget,
   renderHeartbeatResponse,
   splitTaskId,
   type Instant,
@@ -77,9 +78,13 @@
     const jobs = new Set(activeTasks.map(jobIdOf));
     this.jobLiveness.findEnded([...jobs], (result) => {
       if (result.kind === 'unknown') return onResponse(REFUSAL);
-      this.runtime.stats.count('reports.kept');
       const endedTasks = activeTasks.filter((task) => result.endedJobs.has(jobIdOf(task)));
-      const body = renderHeartbeatResponse(grant.fencingToken, endedTasks.map(stopCommandFor));
+      const stops = endedTasks.map(stopCommandFor);
+      const budget = new CommandBudget();
+      // A response that renews the lease must stop all tasks of ended jobs.
+      if (!stops.every((stop) => budget.take(stop))) return onResponse(REFUSAL);
+      this.runtime.stats.count('reports.kept');
+      const body = renderHeartbeatResponse(grant.fencingToken, stops);
       onResponse({ status: 200, body, validUntil: grant.validUntil });
     });
   }
--- a/packages/controller/src/machines/machine-heartbeats.ts
+++ b/packages/controller/src/machines/machine-heartbeats.ts
@@ -1,5 +1,11 @@
 /** State of one machine that its worker's heartbeats have reported in this term. */
-import type { Duration, Instant, TaskStatus, WorkerHeartbeat } from '@tealdock/wire';
+import {
+  taskBytesBesideExited,
+  type Duration,
+  type Instant,
+  type TaskStatus,
+  type WorkerHeartbeat,
+} from '@tealdock/wire';
 
 /** Heartbeats of one machine. A heartbeat counts only if it is newer than all counted before. */
 export class MachineHeartbeats {
@@ -12,6 +18,8 @@
   private leaseRenewedAt: Instant | null = null;
   private olderTokenSince: Instant | null = null;
 
+  constructor(private newestTaskBytes: number) {}
+
   /** Agent epoch of the newest counted heartbeat; 0 before the first. */
   get agentEpoch(): number {
     return this.newestAgentEpoch;
@@ -32,6 +40,11 @@
     return this.newestExitedTasks;
   }
 
+  /** Bytes that tasks which have not exited may take in the machine's next heartbeats. */
+  get taskBytes(): number {
+    return this.newestTaskBytes;
+  }
+
   /** When the cloud preempts the machine; null without a preemption notice. */
   get preemptionDeadline(): Instant | null {
     return this.newestPreemptionDeadline;
@@ -61,6 +74,7 @@
     this.newestAddress = heartbeat.address;
     this.countedAt = now;
     this.newestPreemptionDeadline = preemptionNotice === null ? null : now + preemptionNotice;
+    this.newestTaskBytes = taskBytesBesideExited(heartbeat);
     this.newestExitedTasks = tasks.filter((task) => task.state === 'exited');
   }
 
--- a/packages/controller/src/machines/machine-usage.test.ts
+++ b/packages/controller/src/machines/machine-usage.test.ts
@@ -4,8 +4,11 @@
 import { Machine } from './machine.js';
 import { UsageLedger } from './usage-ledger.js';
 
-const RESOURCES = { cpus: 2, gpus: 1, memoryGb: 8 };
-const NONE = { cpus: 0, gpus: 0, memoryGb: 0 };
+/** The longest entry of attempt 7 of task `j/0`: `{"piece":"j/0","try_no":7,"status":"exited","reason":"stopped"},` */
+const HEARTBEAT_BYTES = 64;
+const RESOURCES = { cpus: 2, gpus: 1, memoryGb: 8, heartbeatBytes: HEARTBEAT_BYTES };
+const NONE = { cpus: 0, gpus: 0, memoryGb: 0, heartbeatBytes: 0 };
+const PLAIN = { isGang: false, mayBeSaved: false };
 
 /** A machine and a ledger that are updated by the transitions of bindings, as in a term. */
 class UsageFixture implements BindingObserver {
@@ -30,7 +33,7 @@
 
 const initial = (observer: BindingObserver) => ({
   identity: { task: 'j/0', job: 'j', index: 0, attempt: 7, machine: 'm-1' },
-  requirements: { team: 'red', resources: RESOURCES, image: 'img', imageGb: 4 },
+  requirements: { team: 'red', resources: RESOURCES, image: 'img', imageGb: 4, entryForm: PLAIN },
   now: 100,
   observer,
 });
--- a/packages/controller/src/machines/machine.ts
+++ b/packages/controller/src/machines/machine.ts
@@ -1,5 +1,10 @@
 /** A machine as the leader knows it in one term. */
-import type { Duration, Instant, MachineType } from '@tealdock/wire';
+import {
+  taskBytesOfNewMachine,
+  type Duration,
+  type Instant,
+  type MachineType,
+} from '@tealdock/wire';
 import type { MachinePool, Resources } from '@tealdock/scheduler';
 import type { Binding } from '../jobs/binding.js';
 import { ImageCache } from './image-cache.js';
@@ -11,7 +16,7 @@
 
 /** One machine. Each concern has an object of its own; images and fetches are combined here. */
 export class Machine implements MachinePool {
-  readonly heartbeats = new MachineHeartbeats();
+  readonly heartbeats: MachineHeartbeats;
   readonly registration = new MachineRegistration();
   readonly health = new MachineHealth();
   readonly usage: MachineUsage;
@@ -25,6 +30,7 @@
     /** Whether it is a spot machine, which the cloud may preempt at short notice. */
     readonly spot: boolean,
   ) {
+    this.heartbeats = new MachineHeartbeats(taskBytesOfNewMachine(type, zone));
     this.usage = new MachineUsage((image) => this.images.has(image));
   }
 
@@ -100,9 +106,15 @@
     return this.fetches.delayOf({ image, sizeGb, awaited, isRateShared, now });
   }
 
-  /** Resources that no bound task uses. */
+  /** Whether its heartbeats may exceed the size limit, so that it has more tasks than it should. */
+  get exceedsHeartbeat(): boolean {
+    return this.usage.used.heartbeatBytes > this.heartbeats.taskBytes;
+  }
+
+  /** Resources that no bound task uses, and no exited one that the worker has yet to forget. */
   free(type: MachineType): Resources {
-    return this.usage.free(type);
+    const { cpus, gpus, memoryGb } = type;
+    return this.usage.free({ cpus, gpus, memoryGb, heartbeatBytes: this.heartbeats.taskBytes });
   }
 }
 
--- a/packages/controller/src/placement/image-availability.ts
+++ b/packages/controller/src/placement/image-availability.ts
@@ -6,7 +6,7 @@
   type JobSpec,
   type MachineType,
 } from '@tealdock/wire';
-import { resourcesOf, taskSlots } from '@tealdock/scheduler';
+import { machineResources, resourcesOf, taskSlots } from '@tealdock/scheduler';
 import type { LiveJob } from '../jobs/live-job.js';
 import type { Machine } from '../machines/machine.js';
 import type { MachineCapacity } from './machine-capacity.js';
@@ -47,7 +47,7 @@
   get slotCount(): number {
     const requested = resourcesOf(this.job.spec);
     this.cachedSlotCount ??= this.machines.reduce(
-      (sum, { type }) => sum + taskSlots(requested, type),
+      (sum, { machine, type }) => sum + taskSlots(requested, machineResources(type, machine.zone)),
       0,
     );
     return this.cachedSlotCount;
--- a/packages/controller/src/placement/team-capacity.ts
+++ b/packages/controller/src/placement/team-capacity.ts
@@ -4,17 +4,18 @@
   NO_RESOURCES,
   addResources,
   isWithinTeamQuota,
+  machineResources,
   resourcesOf,
   type Resources,
 } from '@tealdock/scheduler';
 import type { LiveJob } from '../jobs/live-job.js';
-import { machineTypeOf } from '../machines/machine.js';
+import { machineTypeOf, type Machine } from '../machines/machine.js';
 import type { Runtime } from '../runtime/runtime.js';
 import type { Term } from '../term/term.js';
 import type { MachineTypes } from './fleet-policy.js';
 
 /** Upper bound of the resources that tasks may use on a machine of unknown type. */
-const UNKNOWN_TYPE_RESOURCES: Resources = { cpus: Infinity, gpus: Infinity, memoryGb: 0 };
+const UNKNOWN_TYPE_RESOURCES: Resources = { ...NO_RESOURCES, cpus: Infinity, gpus: Infinity };
 
 /**
  * Compares the resources of a team's bindings with its guarantee and its limit. Resources
@@ -42,7 +43,7 @@
   refreshUnreconciled(): void {
     this.unreconciledResources = this.term
       .unreconciledMachines()
-      .map((machine) => machineTypeOf(this.catalog.types, machine) ?? UNKNOWN_TYPE_RESOURCES)
+      .map((machine) => this.resourcesOfMachine(machine))
       .reduce(addResources, NO_RESOURCES);
   }
 
@@ -74,6 +75,11 @@
     return isWithinTeamQuota(team, used, requested);
   }
 
+  private resourcesOfMachine(machine: Machine): Resources {
+    const type = machineTypeOf(this.catalog.types, machine);
+    return type ? machineResources(type, machine.zone) : UNKNOWN_TYPE_RESOURCES;
+  }
+
   private reservedFor(team: string): Resources {
     return this.reserved.get(team) ?? NO_RESOURCES;
   }
--- a/packages/controller/src/requests/long-polls.ts
+++ b/packages/controller/src/requests/long-polls.ts
@@ -62,6 +62,7 @@
       return this.runtime.reply(requestId, { status: 503, body: {} });
     }
     const commands = this.term.workerCommands.dispatchCommands(machine);
+    if (!commands) return this.runtime.reply(requestId, { status: 503, body: {} });
     const body = renderHeartbeatResponse(grant.fencingToken, commands);
     this.runtime.reply(requestId, { status: 200, body, validUntil: grant.validUntil });
   }
--- a/packages/controller/src/term/direct-stops.ts
+++ b/packages/controller/src/term/direct-stops.ts
@@ -1,10 +1,12 @@
 /** Stop commands that are sent to workers by direct calls, not in responses to heartbeats. */
 import {
   COMMANDS_PATH,
+  CommandBudget,
   renderDirectCommands,
   type Instant,
   type WorkerCommand,
 } from '@tealdock/wire';
+import type { Binding } from '../jobs/binding.js';
 import type { Machine } from '../machines/machine.js';
 import { PRIORITY } from '../runtime/ports.js';
 import type { Runtime } from '../runtime/runtime.js';
@@ -29,7 +31,8 @@
 
 /**
  * Calls workers directly to stop tasks of ended jobs when a response to a heartbeat cannot carry
- * the stop: this node may not answer heartbeats now, or none arrive from the worker. The end of a
+ * the stop: this node may not answer heartbeats now, none arrive from the worker, or the machine has
+ * more tasks than its heartbeats and their answers can name. The end of a
  * job is final, so a stop that arrives late or from a former leader is still correct. Safety does
  * not depend on these calls, because worker leases expire in time anyway (docs/safety.md).
  */
@@ -56,7 +59,7 @@
     for (const machine of this.options.term.machines.values()) {
       if (this.callsInFlight >= MAX_CALLS_IN_FLIGHT_COUNT) return;
       if (machine.heartbeats.address === '' || machine.bindings.size === 0) continue;
-      if (mayRenew && !this.isSilent(machine)) continue;
+      if (mayRenew && !this.isSilent(machine) && !machine.exceedsHeartbeat) continue;
       const lastSentAt = this.lastSentAt.get(machine.id) ?? -Infinity;
       if (this.runtime.now - lastSentAt < RESEND_DELAY_MS) continue;
       const stops = this.stopsFor(machine);
@@ -71,12 +74,14 @@
   }
 
   private stopsFor(machine: Machine): WorkerCommand[] {
-    const stops: WorkerCommand[] = [];
-    for (const binding of machine.bindings.values()) {
-      if (binding.isAssigned || !this.options.hasEnded(binding.job)) continue;
-      stops.push({ op: 'stop', task: binding.task, attempt: binding.attempt, gracePeriod: 0 });
-    }
-    return stops;
+    const budget = new CommandBudget();
+    const ended = [...machine.bindings.values()].filter(
+      (binding) => !binding.isAssigned && this.options.hasEnded(binding.job),
+    );
+    return ended
+      .map((binding) => commandsFor(binding, machine.exceedsHeartbeat))
+      .filter((commands) => budget.takeAll(commands))
+      .flat();
   }
 
   private send(machine: Machine, stops: WorkerCommand[]): void {
@@ -97,3 +102,14 @@
     this.runtime.call(call, () => this.callsInFlight--);
   }
 }
+
+/**
+ * Stops the task, and forgets it on a machine whose heartbeats could not name all that has exited.
+ * An attempt that this term has started is not forgotten here, see `WorkerCommands`.
+ */
+function commandsFor(binding: Binding, isMachineOverfull: boolean): WorkerCommand[] {
+  const { task, attempt } = binding;
+  const stop: WorkerCommand = { op: 'stop', task, attempt, gracePeriod: 0 };
+  if (!isMachineOverfull || binding.isDispatchedByThisTerm) return [stop];
+  return [stop, { op: 'forget', task, attempt }];
+}
--- a/packages/controller/src/term/heartbeat-processor.ts
+++ b/packages/controller/src/term/heartbeat-processor.ts
@@ -51,10 +51,11 @@
     machine.heartbeats.recordLeaseRenewal(this.runtime.now);
     if (!this.isCurrent(machine, heartbeat)) {
       const commands = workerCommands.stopsForEndedJobs(machine.id, heartbeat.tasks);
-      return { kind: 'ignored', commands };
+      return commands ? { kind: 'ignored', commands } : { kind: 'unanswered' };
     }
     this.apply(machine, heartbeat);
-    return { kind: 'counted', commands: workerCommands.dispatchCommands(machine.id) };
+    const commands = workerCommands.dispatchCommands(machine.id);
+    return commands ? { kind: 'counted', commands } : { kind: 'unanswered' };
   }
 
   /**
--- a/packages/controller/src/term/worker-commands.ts
+++ b/packages/controller/src/term/worker-commands.ts
@@ -1,5 +1,6 @@
 /** Commands that a worker receives in responses to its heartbeats. */
 import {
+  CommandBudget,
   splitTaskId,
   type Duration,
   type MachineType,
@@ -68,48 +69,70 @@
   }
 
   /**
-   * Returns the commands for the response to the machine's newest heartbeat. The response must be
-   * sent immediately, since the started tasks count as dispatched from now on. Empty for an unknown
-   * machine.
+   * Returns the commands for the response to the machine's newest heartbeat, as far as they fit into
+   * one: the others are left to the next response. The response must be sent immediately, since the
+   * started tasks count as dispatched from now on. Empty for an unknown machine. Null if the stops
+   * of ended jobs do not all fit: a response that renews the lease must carry all of them.
    */
-  dispatchCommands(machineId: string): WorkerCommand[] {
+  dispatchCommands(machineId: string): WorkerCommand[] | null {
     const machine = this.term.machines.get(machineId);
     if (!machine) return [];
-    const commands: WorkerCommand[] = [];
-    for (const { task, attempt, reason } of machine.heartbeats.exitedTasks) {
-      if (this.mayForget(task, reason)) commands.push({ op: 'forget', task, attempt });
-    }
-    let assignedCount = 0;
-    for (const binding of machine.bindings.values()) {
-      if (binding.isAssigned) assignedCount++;
-      else this.invariants.checkRenewal(binding);
-      const stop = this.stopCommandFor(binding);
-      if (stop) commands.push(stop);
-    }
-    if (assignedCount > 0) commands.push(...this.dispatchStarts(machine));
-    return commands;
+    const budget = new CommandBudget();
+    const stops = this.stopsFor(machine, budget);
+    if (!stops) return null;
+    const forgets = this.forgetsFor(machine).filter((command) => budget.take(command));
+    return [...forgets, ...stops, ...this.dispatchStarts(machine, budget)];
   }
 
   /**
    * Returns stop commands for the response to a heartbeat that is not counted, because it is late
    * or carries another fencing token. The response still renews the worker's lease, so it must
-   * stop tasks of ended jobs.
+   * stop all tasks of ended jobs; null if their stops do not fit into one response.
    */
-  stopsForEndedJobs(machine: string, tasks: TaskStatus[]): WorkerCommand[] {
-    return tasks
-      .filter(({ task, state }) => state !== 'exited' && this.authority.mayStop(jobOf(task)))
-      .map(({ task, attempt }) => {
-        this.runtime.stats.count('stops.uncounted');
-        this.runtime.log(
-          'debug',
-          { task, attempt, machine, reason: JOB_NOT_LIVE_REASON },
-          'stop dispatched',
-        );
-        return { op: 'stop', task, attempt, gracePeriod: 0 };
-      });
+  stopsForEndedJobs(machine: string, tasks: TaskStatus[]): WorkerCommand[] | null {
+    const budget = new CommandBudget();
+    const ended = tasks.filter(
+      ({ task, state }) => state !== 'exited' && this.authority.mayStop(jobOf(task)),
+    );
+    const stops = ended.map(({ task, attempt }) => stopAtOnce(task, attempt));
+    if (!stops.every((stop) => budget.take(stop))) return this.countExcess(machine);
+    for (const { task, attempt } of stops) {
+      this.runtime.stats.count('stops.uncounted');
+      const fields = { task, attempt, machine, reason: JOB_NOT_LIVE_REASON };
+      this.runtime.log('debug', fields, 'stop dispatched');
+    }
+    return stops;
+  }
+
+  private forgetsFor(machine: Machine): WorkerCommand[] {
+    return machine.heartbeats.exitedTasks
+      .filter(({ task, reason }) => this.mayForget(task, reason))
+      .map(({ task, attempt }) => ({ op: 'forget', task, attempt }));
   }
 
-  private dispatchStarts(machine: Machine): WorkerCommand[] {
+  /** Stops that fit, those of ended jobs first; null if these do not all fit. */
+  private stopsFor(machine: Machine, budget: CommandBudget): WorkerCommand[] | null {
+    const ofEndedJobs: WorkerCommand[] = [];
+    const others: WorkerCommand[] = [];
+    for (const binding of machine.bindings.values()) {
+      if (!binding.isAssigned) this.invariants.checkRenewal(binding);
+      const stop = this.stopCommandFor(binding);
+      if (stop) (this.authority.mayStop(binding.job) ? ofEndedJobs : others).push(stop);
+    }
+    if (!ofEndedJobs.every((stop) => budget.take(stop))) return this.countExcess(machine.id);
+    return [...ofEndedJobs, ...others.filter((stop) => budget.take(stop))];
+  }
+
+  /** Records that the stops of ended jobs exceed one response, so that none is sent. */
+  private countExcess(machine: string): null {
+    this.runtime.stats.count('reports.unanswered.stops_too_long');
+    this.runtime.log('info', { machine }, 'stops exceed an answer');
+    return null;
+  }
+
+  private dispatchStarts(machine: Machine, budget: CommandBudget): WorkerCommand[] {
+    const assigned = [...machine.bindings.values()].filter(({ isAssigned }) => isAssigned);
+    if (assigned.length === 0) return [];
     const decision = this.authority.start(machine.registration);
     if (!decision.granted) {
       this.runtime.stats.count(`starts.refused.${decision.reason}`);
@@ -120,8 +143,10 @@
     }
     this.runtime.stats.record('evidence.start_age_ms', decision.evidence.age);
     const starts: WorkerCommand[] = [];
-    for (const binding of machine.bindings.values()) {
-      if (!binding.isAssigned || this.invariants.forbidsStart(binding)) continue;
+    for (const binding of assigned) {
+      if (this.invariants.forbidsStart(binding)) continue;
+      const { task, attempt } = binding;
+      if (!budget.take({ op: 'start', task, attempt })) break;
       starts.push(this.dispatchStart(machine, binding, decision.evidence));
     }
     return starts;
@@ -172,5 +197,12 @@
   }
 }
 
+const stopAtOnce = (task: string, attempt: number): WorkerCommand => ({
+  op: 'stop',
+  task,
+  attempt,
+  gracePeriod: 0,
+});
+
 /** Job identifier of a task; the task identifier itself if it cannot be parsed. */
 const jobOf = (task: string): string => splitTaskId(task)?.job ?? task;
--- a/packages/scheduler/src/placement-constraints.ts
+++ b/packages/scheduler/src/placement-constraints.ts
@@ -1,6 +1,12 @@
 /** Constraints on the machines on which a job may be placed. */
 import type { JobSpec, MachineType, Team } from '@tealdock/wire';
-import { RESOURCE_EPSILON, fits, resourcesOf, type Resources } from './resources.js';
+import {
+  RESOURCE_EPSILON,
+  fits,
+  machineResources,
+  resourcesOf,
+  type Resources,
+} from './resources.js';
 
 /** The spot machines, or all others, of one type in one zone. */
 export interface MachinePool {
@@ -60,7 +66,7 @@
   const isFeasible = types.some(
     (type) =>
       isTypeAllowed(spec, type.name) &&
-      fits(resourcesOf(spec), type) &&
+      fits(resourcesOf(spec), machineResources(type, spec.zone ?? '')) &&
       (spec.zone === null || type.zones.includes(spec.zone)),
   );
   return isFeasible ? null : 'no allowed machine type can hold a task';
--- a/packages/scheduler/src/rental-plan.ts
+++ b/packages/scheduler/src/rental-plan.ts
@@ -7,6 +7,7 @@
 } from './placement-constraints.js';
 import {
   fits,
+  machineResources,
   minResources,
   multiplyResources,
   resourcesOf,
@@ -51,7 +52,7 @@
         zone,
         spot,
         price: spot ? type.spotPrice : type.price,
-        resources: { cpus: type.cpus, gpus: type.gpus, memoryGb: type.memoryGb },
+        resources: machineResources(type, zone),
       })),
     ),
   );
--- a/packages/scheduler/src/resources.ts
+++ b/packages/scheduler/src/resources.ts
@@ -1,11 +1,18 @@
 /** Resources and arithmetic on them. */
-import type { JobSpec } from '@tealdock/wire';
+import {
+  maxEntryBytesOfJob,
+  taskBytesOfNewMachine,
+  type JobSpec,
+  type MachineType,
+} from '@tealdock/wire';
 
 /** Amounts of the resources that a task uses or a machine has. */
 export interface Resources {
   cpus: number;
   gpus: number;
   memoryGb: number;
+  /** Bytes of the machine's heartbeats, which name every task and are limited in size. */
+  heartbeatBytes: number;
 }
 
 /** Tolerance for rounding errors in sums of decimal amounts. */
@@ -14,26 +21,42 @@
 const MAX_SLOT_COUNT = 1000;
 
 /** No resources at all. */
-export const NO_RESOURCES: Resources = { cpus: 0, gpus: 0, memoryGb: 0 };
+export const NO_RESOURCES: Resources = {
+  cpus: 0,
+  gpus: 0,
+  memoryGb: 0,
+  heartbeatBytes: 0,
+};
 
 /** Resources that each task of a job requests. */
-export const resourcesOf = ({ cpus, gpus, memoryGb }: JobSpec): Resources => ({
-  cpus,
-  gpus,
-  memoryGb,
+export const resourcesOf = (spec: JobSpec): Resources => ({
+  cpus: spec.cpus,
+  gpus: spec.gpus,
+  memoryGb: spec.memoryGb,
+  heartbeatBytes: maxEntryBytesOfJob(spec),
+});
+
+/** Resources of a machine without tasks, of this type and in this zone. */
+export const machineResources = (type: MachineType, zone: string): Resources => ({
+  cpus: type.cpus,
+  gpus: type.gpus,
+  memoryGb: type.memoryGb,
+  heartbeatBytes: taskBytesOfNewMachine(type.name, zone),
 });
 
 /** Whether the requested resources fit into the free ones. */
 export const fits = (requested: Resources, free: Resources): boolean =>
   requested.cpus <= free.cpus + RESOURCE_EPSILON &&
   requested.gpus <= free.gpus + RESOURCE_EPSILON &&
-  requested.memoryGb <= free.memoryGb + RESOURCE_EPSILON;
+  requested.memoryGb <= free.memoryGb + RESOURCE_EPSILON &&
+  requested.heartbeatBytes <= free.heartbeatBytes;
 
 /** `a + b` of each kind. */
 export const addResources = (a: Resources, b: Resources): Resources => ({
   cpus: a.cpus + b.cpus,
   gpus: a.gpus + b.gpus,
   memoryGb: a.memoryGb + b.memoryGb,
+  heartbeatBytes: a.heartbeatBytes + b.heartbeatBytes,
 });
 
 /** `a - b` of each kind; may be negative. */
@@ -41,6 +64,7 @@
   cpus: a.cpus - b.cpus,
   gpus: a.gpus - b.gpus,
   memoryGb: a.memoryGb - b.memoryGb,
+  heartbeatBytes: a.heartbeatBytes - b.heartbeatBytes,
 });
 
 /** `each * count` of each kind. */
@@ -48,6 +72,7 @@
   cpus: each.cpus * count,
   gpus: each.gpus * count,
   memoryGb: each.memoryGb * count,
+  heartbeatBytes: each.heartbeatBytes * count,
 });
 
 /** The smaller amount of each kind. */
@@ -55,6 +80,7 @@
   cpus: Math.min(a.cpus, b.cpus),
   gpus: Math.min(a.gpus, b.gpus),
   memoryGb: Math.min(a.memoryGb, b.memoryGb),
+  heartbeatBytes: Math.min(a.heartbeatBytes, b.heartbeatBytes),
 });
 
 /** Number of tasks with these requests that fit into the free resources, at most `MAX_SLOT_COUNT`. */
@@ -65,12 +91,16 @@
     slots(requested.cpus, free.cpus),
     slots(requested.gpus, free.gpus),
     slots(requested.memoryGb, free.memoryGb),
+    slots(requested.heartbeatBytes, free.heartbeatBytes),
   );
   return Math.max(0, Math.min(count, MAX_SLOT_COUNT));
 }
 
-/** The allocated fraction, from 0 to 1, of the machine's most allocated resource. */
-export function allocatedFraction(total: Resources, free: Resources): number {
+/** What a machine has to offer that costs money. */
+type PaidResources = Omit<Resources, 'heartbeatBytes'>;
+
+/** The allocated fraction, from 0 to 1, of the machine's most allocated paid resource. */
+export function allocatedFraction(total: PaidResources, free: PaidResources): number {
   const fraction = (all: number, rest: number) => (all <= 0 ? 0 : (all - rest) / all);
   return Math.max(
     fraction(total.cpus, free.cpus),
--- a/packages/testing/src/simulation/worker-fleet.ts
+++ b/packages/testing/src/simulation/worker-fleet.ts
@@ -1,5 +1,5 @@
 /** The workers of a simulated cluster, and the delivery of their heartbeats. */
-import { packBody, type Duration, type JobSpec } from '@tealdock/wire';
+import { MAX_BODY_BYTES, packBody, type Duration, type JobSpec } from '@tealdock/wire';
 import type { Call, CallResult, Reply } from '@tealdock/controller';
 import type { CloudMachine } from '../fakes/fake-cloud.js';
 import { FakeWorker } from '../fakes/fake-worker.js';
@@ -40,6 +40,8 @@
   duplicateDelay: (() => Duration | null) | null = null;
   /** Chooses the node at which a copy arrives; null for the node of the heartbeat. */
   duplicateTarget: (() => string | null) | null = null;
+  /** Heartbeats, answers and direct commands that exceed the size limit; none is delivered. */
+  oversizedCount = 0;
   /** Calls with direct commands that reached a machine. */
   directCommandCount = 0;
 
@@ -89,6 +91,7 @@
     const id = call.to.split(':')[0]!;
     const worker = this.workers.get(id);
     if (!worker || this.context.network.isCut(from, id)) return lost();
+    if (this.isOversized(call.body)) return lost();
     this.directCommandCount++;
     worker.receiveCommands(call.body as WireCommands, done);
   }
@@ -108,10 +111,13 @@
     if (network.isCut(id, node)) return;
     this.scheduleDuplicate(node, body);
     const latency = ONE_WAY_LATENCY_MS + this.extraLatency;
-    const respond = ({ status, body: content }: Reply) =>
+    const respond = ({ status, body: content }: Reply) => {
+      if (this.isOversized(content)) return;
       clock.after(ONE_WAY_LATENCY_MS + this.extraLatency, () =>
         done({ kind: 'answer', status, body: content }),
       );
+    };
+    if (this.isOversized(body)) return respond({ status: 400, body: {} });
     clock.after(latency, () => {
       const connection = processes.running.get(node)?.sockets.request(id, 'worker');
       if (connection === 'rejected') return respond({ status: 503, body: {} });
@@ -153,6 +159,13 @@
     this.context.checker.noteEnd(piece, machine, reason);
   }
 
+  /** Whether a message exceeds the size limit, which the protocol counts in the JSON form. */
+  private isOversized(body: unknown): boolean {
+    const isTooLong = Buffer.byteLength(JSON.stringify(body)) > MAX_BODY_BYTES;
+    if (isTooLong) this.oversizedCount++;
+    return isTooLong;
+  }
+
   private scheduleDuplicate(node: string, body: unknown): void {
     const delay = this.duplicateDelay?.() ?? null;
     if (delay === null) return;
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -5,6 +5,7 @@
 export * from './byte-accumulator.js';
 export * from './jobs.js';
 export * from './workers.js';
+export * from './heartbeat-size.js';
 export * from './cloud.js';
 export * from './state.js';
 export * from './peers.js';
--- a/packages/wire/src/workers.ts
+++ b/packages/wire/src/workers.ts
@@ -32,6 +32,11 @@
   no_such: 'unknown',
 };
 
+/** Longest machine id in a heartbeat, in characters. */
+export const MAX_MACHINE_ID_LENGTH = 150;
+/** Longest address in a heartbeat, in characters. */
+export const MAX_ADDRESS_LENGTH = 200;
+
 /** The decoder refuses maps with this key, and machines are keys in the stored registry. */
 const FORBIDDEN_KEY = '__proto__';
 
@@ -39,11 +44,11 @@
 const machineId = z
   .string()
   .min(1)
-  .max(150)
+  .max(MAX_MACHINE_ID_LENGTH)
   .refine((id) => id !== FORBIDDEN_KEY);
 const heartbeatSchema = z.object({
   host: machineId,
-  addr: z.string().min(1).max(200),
+  addr: z.string().min(1).max(MAX_ADDRESS_LENGTH),
   flavour: z.string().min(1),
   hall: z.string().min(1),
   spare: z.boolean(),
@@ -86,7 +91,8 @@
   };
 }
 
-function renderCommand(command: WorkerCommand): Record<string, unknown> {
+/** A command as its worker receives it. */
+export function renderCommand(command: WorkerCommand): Record<string, unknown> {
   const base = { piece: command.task, try_no: command.attempt };
   if (command.op === 'stop')
     return { verb: 'kill', ...base, wind_down_s: secondsOf(command.gracePeriod) };
