A heartbeat refused for its size is logged and counted

Cause: nothing told why a machine was silent; the refusal counted among all long requests. Change: the limits of bodies have a module of their own, which knows the path and logs the client's address and the announced length (heartbeat refused for its size, reports.too_long).

--- a/packages/adapters/src/http-server.ts
+++ b/packages/adapters/src/http-server.ts
@@ -6,32 +6,24 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import { HEALTH_PATH, MAX_BODY_BYTES, HEARTBEAT_PATH, packBody, secondsOf } from '@tealdock/wire';
-import type { Reply, SocketShares, Stats } from '@tealdock/controller';
+import { HEALTH_PATH, HEARTBEAT_PATH, packBody, secondsOf } from '@tealdock/wire';
+import type { Log, Reply, SocketShares, Stats } from '@tealdock/controller';
+import { BUSY, BodyLimits, type ArrivingRequest } from './body-limits.js';
 import type { Connections, ClientKind } from './connections.js';
 import { listen, type ListenEvents } from './listen.js';
-import { MemoryBudget } from './memory-budget.js';
 import { receiveBody } from './receive-body.js';
 
 const CLOSE_IDLE_INTERVAL_MS = 1000;
 const REQUEST_TIMEOUT_MS = 10_000;
 const REPLY_TIMEOUT_MS = 6000;
-const BUSY_RETRY_AFTER_MS = 1000;
 /** Limit of a request's line and headers; those of workers and users are far shorter. */
 const MAX_HEADER_BYTES = 4 * 1024;
-/**
- * Limit of all bodies that are arriving or whose requests wait for their answer. The reports of
- * 2,000 machines with 64 tasks each take half of it, all held at a time.
- */
-const MAX_HELD_BODY_BYTES = 16 * 1024 * 1024;
 
 /** Handles a request whose body is complete, and calls `respond` with the reply. */
 export type RequestHandler = (method: string, path: string, body: Buffer, respond: Respond) => void;
 /** Sends the reply to a request; called once. */
 export type Respond = (reply: Reply) => void;
 
-const BUSY: Reply = { status: 503, body: { error: 'busy' }, retryAfter: BUSY_RETRY_AFTER_MS };
-const BODY_TOO_LONG: Reply = { status: 400, body: { error: 'the body is over 64 KiB' } };
 const LEASE_IN_DOUBT: Reply = { status: 503, body: { error: 'lease in doubt' } };
 
 /**
@@ -40,15 +32,16 @@
  */
 export class PublicHttpServer {
   private readonly server: Server;
-  /** Memory of the bodies whose requests have not been answered yet. */
-  private readonly bodyMemory = new MemoryBudget(MAX_HELD_BODY_BYTES);
+  private readonly bodyLimits: BodyLimits;
 
   constructor(
     private readonly handle: RequestHandler,
     private readonly connections: Connections,
     shares: SocketShares,
     private readonly stats: Pick<Stats, 'count'>,
+    log: Log,
   ) {
+    this.bodyLimits = new BodyLimits(stats, log);
     this.server = createServer({ noDelay: true, maxHeaderSize: MAX_HEADER_BYTES }, (req, res) =>
       this.accept(req, res),
     );
@@ -88,12 +81,13 @@
   }
 
   private receiveBody(req: IncomingMessage, res: ServerResponse): void {
+    const request = describe(req);
     let heldBytes = 0;
-    res.on('close', () => this.bodyMemory.release(heldBytes));
+    res.on('close', () => this.bodyLimits.release(heldBytes));
     req.on('error', () => res.destroy());
     receiveBody(req, {
       mayKeep: (addedBytes, length) => {
-        const problem = this.problemOfBody(addedBytes, length);
+        const problem = this.bodyLimits.reserve(request, addedBytes, length);
         if (problem) refuseBody(res, problem);
         else heldBytes += addedBytes;
         return problem === null;
@@ -102,17 +96,6 @@
     });
   }
 
-  /** Null, and the added bytes are reserved, if they may be kept; else the reply that refuses. */
-  private problemOfBody(addedBytes: number, length: number): Reply | null {
-    if (length > MAX_BODY_BYTES) return this.countRefusal('too_long', BODY_TOO_LONG);
-    return this.bodyMemory.reserve(addedBytes) ? null : this.countRefusal('no_memory', BUSY);
-  }
-
-  private countRefusal(reason: string, reply: Reply): Reply {
-    this.stats.count(`requests.${reason}`);
-    return reply;
-  }
-
   private handleWithTimeout(req: IncomingMessage, body: Buffer, res: ServerResponse): void {
     const timer = setTimeout(() => write(res, BUSY), REPLY_TIMEOUT_MS);
     this.handle(req.method ?? 'GET', pathOf(req), body, (reply) => {
@@ -128,6 +111,12 @@
   write(res, reply);
 }
 
+const describe = (req: IncomingMessage): ArrivingRequest => ({
+  path: pathOf(req),
+  from: req.socket.remoteAddress,
+  announcedBytes: req.headers['content-length'],
+});
+
 const pathOf = (req: IncomingMessage): string => (req.url ?? '/').replace(/\?.*$/s, '');
 
 function clientOf(path: string): ClientKind {
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -5,6 +5,7 @@
 export * from './token-bucket.js';
 export * from './listen.js';
 export * from './memory-budget.js';
+export * from './body-limits.js';
 export * from './receive-body.js';
 export * from './connections.js';
 export * from './resource-usage.js';
--- a/packages/adapters/src/service.ts
+++ b/packages/adapters/src/service.ts
@@ -57,6 +57,7 @@
       this.connections,
       shares,
       stats,
+      log,
     );
     this.peers = new PeerLink(
       settings.peers,
