Peers' frames: a leader's hints and counts leave out what does not fit

Change: packBroadcast cuts the lists until the frame fits; hints and counts decide nothing. Not seen in operation.

--- a/packages/adapters/src/peer-link.ts
+++ b/packages/adapters/src/peer-link.ts
@@ -3,6 +3,7 @@
 import {
   PeerDecoder,
   packBody,
+  packBroadcast,
   packPeerMessage,
   unpackBody,
   type LeaderBroadcast,
@@ -68,7 +69,7 @@
 
   /** Sends a message to all connected peers. */
   send(message: PeerHeartbeat | LeaderBroadcast): void {
-    const frame = packPeerMessage(message);
+    const frame = message.kind === 'heartbeat' ? packPeerMessage(message) : packBroadcast(message);
     for (const socket of this.sockets.values()) this.write(socket, frame);
   }
 
--- a/packages/wire/src/peers.ts
+++ b/packages/wire/src/peers.ts
@@ -125,6 +125,26 @@
   return frame;
 }
 
+/**
+ * Encodes a leader's message, which grows with the cluster, so that it fits into a frame: what does
+ * not fit is left out, since peers close a connection on which a longer frame arrives.
+ */
+export function packBroadcast(message: LeaderBroadcast): Buffer {
+  const frame = packPeerMessage(message);
+  const length = frame.length - HEADER_BYTES;
+  if (length <= MAX_FRAME_BYTES) return frame;
+  return packBroadcast(shortened(message, MAX_FRAME_BYTES / length));
+}
+
+/** The message with this fraction of its list, or without machines and images if none is left. */
+function shortened(message: LeaderBroadcast, fraction: number): LeaderBroadcast {
+  const firstOf = <T>(list: T[]): T[] => list.slice(0, Math.floor(list.length * fraction));
+  if (message.kind === 'counts') return { ...message, jobs: firstOf(message.jobs) };
+  const machines = firstOf(message.machines);
+  if (machines.length > 0) return { ...message, machines };
+  return { ...message, machines, images: [], ratios: firstOf(message.ratios) };
+}
+
 /** Decodes a stream of bytes into messages. After an error, the stream must not be read on. */
 export class PeerDecoder {
   /** Received bytes that do not form a complete frame yet. */
