An exited attempt is forgotten only once no copy of its start is expected

What callers could see: a task on two machines, or a cancelled task that runs again, if a machine executes a late copy of an answer with a start whose attempt it was told to forget. Cause: forgetting removes what makes a repeated start harmless, and came as soon as the end was stored. Change: it waits for a lease and 4 s from the start; for 4 s where the heartbeat has little room. Evidence: a fake worker that executes late copies of all that reached it. By the protocol workers drop answers after 4 s, so copies over a lease need a worker or proxy that doesn't.

--- a/packages/controller/src/machines/machine.ts
+++ b/packages/controller/src/machines/machine.ts
@@ -1,5 +1,6 @@
 /** A machine as the leader knows it in one term. */
 import {
+  MAX_BODY_BYTES,
   taskBytesOfNewMachine,
   type Duration,
   type Instant,
@@ -13,6 +14,7 @@
 import { MachineHeartbeats } from './machine-heartbeats.js';
 import { MachineRegistration } from './machine-registration.js';
 import { MachineUsage } from './machine-usage.js';
+import { SentStarts } from './sent-starts.js';
 
 /** One machine. Each concern has an object of its own; images and fetches are combined here. */
 export class Machine implements MachinePool {
@@ -20,6 +22,7 @@
   readonly registration = new MachineRegistration();
   readonly health = new MachineHealth();
   readonly usage: MachineUsage;
+  readonly sentStarts = new SentStarts();
   private readonly images = new ImageCache();
   private readonly fetches = new ImageFetches();
 
@@ -111,6 +114,11 @@
     return this.usage.used.heartbeatBytes > this.heartbeats.taskBytes;
   }
 
+  /** Whether tasks, exited ones included, leave less than half of its heartbeats to further ones. */
+  get isHeartbeatCrowded(): boolean {
+    return this.heartbeats.taskBytes - this.usage.used.heartbeatBytes < MAX_BODY_BYTES / 2;
+  }
+
   /** Resources that no bound task uses, and no exited one that the worker has yet to forget. */
   free(type: MachineType): Resources {
     const { cpus, gpus, memoryGb } = type;
--- a/packages/controller/src/term/worker-commands.ts
+++ b/packages/controller/src/term/worker-commands.ts
@@ -16,6 +16,9 @@
 import type { BindingInvariants } from './binding-invariants.js';
 import type { TermView } from './term-view.js';
 
+/** A worker drops the response to a heartbeat that was sent longer ago (PROTOCOL, workers). */
+const RESPONSE_TIMEOUT_MS: Duration = 4000;
+
 /** Logged reason of a stop that is sent in response to a heartbeat that is not counted. */
 const JOB_NOT_LIVE_REASON = 'job not live';
 
@@ -104,9 +107,19 @@
     return stops;
   }
 
+  /**
+   * Forgets exited tasks. An attempt is kept while a copy of its start might arrive, since a worker
+   * that has forgotten it would start it again: for a lease, or if the machine's heartbeat has little
+   * room left, for as long as a worker takes a response.
+   */
   private forgetsFor(machine: Machine): WorkerCommand[] {
+    const lifetime = machine.isHeartbeatCrowded ? RESPONSE_TIMEOUT_MS : this.startLifetime;
+    const { now } = this.runtime;
     return machine.heartbeats.exitedTasks
-      .filter(({ task, reason }) => this.mayForget(task, reason))
+      .filter(({ task, attempt, reason }) => {
+        const mayStartAgain = machine.sentStarts.mayArriveAgain(task, attempt, lifetime, now);
+        return !mayStartAgain && this.mayForget(task, reason);
+      })
       .map(({ task, attempt }) => ({ op: 'forget', task, attempt }));
   }
 
@@ -154,19 +167,21 @@
 
   private dispatchStart(machine: Machine, binding: Binding, evidence: Evidence): WorkerCommand {
     binding.dispatch(machine.heartbeats.sequenceNumber);
+    const { task, attempt } = binding;
+    machine.sentStarts.record(task, attempt, this.startLifetime, this.runtime.now);
     machine.recordStartDispatched(binding, this.runtime.now);
     this.runtime.stats.record('starts.booked_to_sent_ms', this.runtime.now - binding.assignedAt);
     this.runtime.log(
       'debug',
       {
-        task: binding.task,
-        attempt: binding.attempt,
+        task,
+        attempt,
         machine: machine.id,
         ...evidenceFields(evidence),
       },
       'start dispatched',
     );
-    return { op: 'start', task: binding.task, attempt: binding.attempt };
+    return { op: 'start', task, attempt };
   }
 
   /** Null if no stop is to be sent now; a task that is saving its state keeps its grace period. */
@@ -192,6 +207,11 @@
     return job.progress.isCommitted(parsed.index);
   }
 
+  /** How long after a start was sent copies of it are expected at the most. */
+  private get startLifetime(): Duration {
+    return this.runtime.settings.workerLeaseDuration + RESPONSE_TIMEOUT_MS;
+  }
+
   private mayStart(machine: Machine): boolean {
     return this.authority.start(machine.registration).granted;
   }
--- a/packages/testing/src/fakes/fake-worker.ts
+++ b/packages/testing/src/fakes/fake-worker.ts
@@ -82,6 +82,17 @@
     this.pendingCommands.push(() => done(this.executeCommands(body)));
   }
 
+  /**
+   * Executes the commands of an answer again, as a late copy of it would; its heartbeat was sent in
+   * this agent epoch. As with the answer itself, an outdated token or epoch makes it invalid, but the
+   * copy does not renew the lease.
+   */
+  receiveAnswerCopy({ fence = -1, orders = [] }: WireHeartbeatResponse, agentEpoch: number): void {
+    if (this.isTerminated || fence < this.fencingToken || agentEpoch !== this.agentEpoch) return;
+    for (const order of orders) this.execute(order);
+    if (this.hasUnsentChange) this.scheduleHeartbeatSoon();
+  }
+
   private executeCommands({ fence, shift, orders }: WireCommands): CallResult {
     if (fence === undefined || shift === undefined) return this.stateResponse(400);
     if (fence < this.fencingToken || shift !== this.agentEpoch) return this.stateResponse(409);
--- a/packages/testing/src/scenarios/heartbeat-size.test.ts
+++ b/packages/testing/src/scenarios/heartbeat-size.test.ts
@@ -11,6 +11,7 @@
   followers,
   jobId,
   readyCluster,
+  runUntilDone,
   runningTaskCount,
   submitAccepted,
   workers,
@@ -99,6 +100,15 @@
   assertNothingOversized(cluster);
 });
 
+// Guards against exited tasks, kept in case their starts arrive again, that hold up all others.
+test('thousands of tasks that take a second each pass through one machine', () => {
+  const cluster = readyCluster({ capacity: ONE_MACHINE, runTime: 1000 }, ONE_MACHINE);
+  submitAccepted(cluster, 1, { ...MANY_SMALL_TASKS, batch: 4000 });
+  assert.ok(runUntilDone(cluster, jobId(1), 90_000));
+  assertNothingOversized(cluster);
+  assertNoViolations(cluster);
+});
+
 // Guards against a machine that an older version of the program has filled beyond its heartbeats.
 test('a machine with more tasks than it can report gets no more, and its cancelled tasks stop', () => {
   const cluster = filledMachine();
--- a/packages/testing/src/simulation/worker-fleet.ts
+++ b/packages/testing/src/simulation/worker-fleet.ts
@@ -3,7 +3,12 @@
 import type { Call, CallResult, Reply } from '@tealdock/controller';
 import type { CloudMachine } from '../fakes/fake-cloud.js';
 import { FakeWorker } from '../fakes/fake-worker.js';
-import type { TaskImage, WireCommands, WorkerHost } from '../fakes/worker-protocol.js';
+import type {
+  TaskImage,
+  WireCommands,
+  WireHeartbeatResponse,
+  WorkerHost,
+} from '../fakes/worker-protocol.js';
 import type { RuleChecker } from '../checker/rule-checker.js';
 import { NODES, type ClusterOptions, type DeploymentTimes } from './cluster-options.js';
 import { ONE_WAY_LATENCY_MS, type ControllerProcesses } from './controller-processes.js';
@@ -40,6 +45,13 @@
   duplicateDelay: (() => Duration | null) | null = null;
   /** Chooses the node at which a copy arrives; null for the node of the heartbeat. */
   duplicateTarget: (() => string | null) | null = null;
+  /**
+   * Chooses for each answer and each direct command that reaches a machine the delay after which a
+   * copy of it arrives there; null for no copy.
+   */
+  lateCopyDelay: (() => Duration | null) | null = null;
+  /** Copies of answers and direct commands that reached a machine. */
+  lateCopyCount = 0;
   /** Heartbeats, answers and direct commands that exceed the size limit; none is delivered. */
   oversizedCount = 0;
   /** Calls with direct commands that reached a machine. */
@@ -76,7 +88,7 @@
   }
 
   clearFaults(): void {
-    this.duplicateDelay = this.duplicateTarget = null;
+    this.duplicateDelay = this.duplicateTarget = this.lateCopyDelay = null;
     this.extraLatency = 0;
     for (const worker of this.workers.values()) worker.isHung = false;
   }
@@ -93,7 +105,9 @@
     if (!worker || this.context.network.isCut(from, id)) return lost();
     if (this.isOversized(call.body)) return lost();
     this.directCommandCount++;
-    worker.receiveCommands(call.body as WireCommands, done);
+    const commands = call.body as WireCommands;
+    worker.receiveCommands(commands, done);
+    this.scheduleLateCopy(() => worker.receiveCommands(commands, () => undefined));
   }
 
   commandAddress(machine: string): string {
@@ -108,14 +122,18 @@
   ): void {
     const { network, processes, clock } = this.context;
     const id = worker.machine.id;
+    const { agentEpoch } = worker;
     if (network.isCut(id, node)) return;
     this.scheduleDuplicate(node, body);
     const latency = ONE_WAY_LATENCY_MS + this.extraLatency;
     const respond = ({ status, body: content }: Reply) => {
       if (this.isOversized(content)) return;
-      clock.after(ONE_WAY_LATENCY_MS + this.extraLatency, () =>
-        done({ kind: 'answer', status, body: content }),
-      );
+      clock.after(ONE_WAY_LATENCY_MS + this.extraLatency, () => {
+        done({ kind: 'answer', status, body: content });
+        const answer = content as WireHeartbeatResponse;
+        if (status === 200)
+          this.scheduleLateCopy(() => worker.receiveAnswerCopy(answer, agentEpoch));
+      });
     };
     if (this.isOversized(body)) return respond({ status: 400, body: {} });
     clock.after(latency, () => {
@@ -159,6 +177,15 @@
     this.context.checker.noteEnd(piece, machine, reason);
   }
 
+  private scheduleLateCopy(deliver: () => void): void {
+    const delay = this.lateCopyDelay?.() ?? null;
+    if (delay === null) return;
+    this.context.clock.after(delay, () => {
+      this.lateCopyCount++;
+      deliver();
+    });
+  }
+
   /** Whether a message exceeds the size limit, which the protocol counts in the JSON form. */
   private isOversized(body: unknown): boolean {
     const isTooLong = Buffer.byteLength(JSON.stringify(body)) > MAX_BODY_BYTES;
