Tests of heartbeat sizes: a refused heartbeat ends the lease once; fewer tests of single sums

The sums are checked by the scenarios, whose fakes refuse each message over the limit; their unit tests are taken out, and so is a repeated one of peers' frames. New: a machine whose heartbeats are refused already.

--- a/packages/testing/src/scenarios/heartbeat-size.test.ts
+++ b/packages/testing/src/scenarios/heartbeat-size.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import type { FakeWorker } from '../fakes/fake-worker.js';
 import type { SimulatedCluster } from '../simulation/simulated-cluster.js';
 import { job } from '../simulation/small-job.js';
 import { readyDeployment, testOnEachDeployment } from './deployments.js';
@@ -109,23 +110,25 @@
   assertNoViolations(cluster);
 });
 
+/** Adds running tasks that an earlier leader has started, until the worker has this many. */
+function addTasksOfEarlierLeader(
+  cluster: SimulatedCluster,
+  worker: FakeWorker,
+  count: number,
+): void {
+  const known = new Set(worker.tasks.map(({ piece }) => piece));
+  for (let index = 0; worker.tasks.length < count; index++) {
+    const piece = `${jobId(1)}/${index}`;
+    if (known.has(piece)) continue;
+    const endsAt = cluster.now() + 60_000;
+    worker.tasks.push({ piece, try_no: OLDER_ATTEMPT, status: 'running', endsAt });
+  }
+}
+
 // Guards against a machine that an older version of the program has filled beyond its heartbeats.
 test('a machine with more tasks than it can report gets no more, and its cancelled tasks stop', () => {
   const cluster = filledMachine();
-  const [worker] = workers(cluster);
-  const known = new Set(worker!.tasks.map(({ piece }) => piece));
-  for (let index = 0; known.size < TASKS_OF_AN_OVERFILLED_MACHINE; index++) {
-    const piece = `${jobId(1)}/${index}`;
-    if (!known.has(piece)) {
-      worker!.tasks.push({
-        piece,
-        try_no: OLDER_ATTEMPT,
-        status: 'running',
-        endsAt: cluster.now() + 60_000,
-      });
-      known.add(piece);
-    }
-  }
+  addTasksOfEarlierLeader(cluster, workers(cluster)[0]!, TASKS_OF_AN_OVERFILLED_MACHINE);
   crashLeader(cluster, 500);
   cluster.run(20_000);
   assert.equal(runningTaskCount(cluster), TASKS_OF_AN_OVERFILLED_MACHINE);
@@ -135,3 +138,12 @@
   assert.ok(cluster.fleet.directCommandCount > 0);
   assertNothingOversized(cluster);
 });
+
+test('a machine whose heartbeats are refused loses its lease once, and all of its tasks are done', () => {
+  const cluster = filledMachine();
+  addTasksOfEarlierLeader(cluster, workers(cluster)[0]!, 1400);
+  cluster.run(cluster.times.lease);
+  assert.ok(cluster.fleet.oversizedCount > 0);
+  assertRecovery(cluster, [1]);
+  assert.equal(workers(cluster)[0]!.agentEpoch, 2);
+});
--- a/packages/testing/src/unit/heartbeat-size.test.ts
+++ b/packages/testing/src/unit/heartbeat-size.test.ts
@@ -1,17 +1,11 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import {
-  CommandBudget,
   LONGEST_ENTRY_FORM,
-  MAX_BODY_BYTES,
   maxEntryBytesOfJob,
   maxTaskEntryBytes,
   parseSubmission,
-  taskBytesBesideExited,
-  taskBytesOfNewMachine,
   type JobSpec,
-  type TaskStatus,
-  type WorkerHeartbeat,
 } from '@tealdock/wire';
 import {
   infeasibilityReason,
@@ -40,19 +34,6 @@
 
 const jsonBytes = (value: unknown): number => Buffer.byteLength(JSON.stringify(value));
 
-const heartbeat = (tasks: TaskStatus[]): WorkerHeartbeat => ({
-  machine: 'm-000231',
-  address: '10.1.0.232:9000',
-  type: 'g8',
-  zone: 'a',
-  spot: true,
-  agentEpoch: 1,
-  sequenceNumber: 88,
-  fencingToken: 41,
-  preemptionNotice: null,
-  tasks,
-});
-
 test('an entry is counted at its longest, in every state that the protocol names', () => {
   const states = [
     ...['pulling', 'running', 'saving'].map((status) => ({ status })),
@@ -80,54 +61,6 @@
   assert.equal(maxEntryBytesOfJob(spec), entry);
 });
 
-test('a heartbeat that is filled as counted does not exceed the limit of a request', () => {
-  const exited: TaskStatus = {
-    task: 'run-000001/0',
-    attempt: 7,
-    state: 'exited',
-    reason: 'done',
-    saved: false,
-  };
-  const empty = taskBytesBesideExited(heartbeat([]));
-  assert.ok(taskBytesBesideExited(heartbeat([exited])) < empty);
-  assert.ok(taskBytesOfNewMachine('g8', 'a') < empty);
-  const form = { isGang: false, mayBeSaved: false };
-  const attempt = 123_456_789;
-  const batch = [];
-  for (let left = empty, i = 0; ; i++) {
-    const piece = `run-000001/${i}`;
-    left -= maxTaskEntryBytes(piece, attempt, form);
-    if (left < 0) break;
-    batch.push({ piece, try_no: attempt, status: 'exited', reason: 'stopped' });
-  }
-  const longest = 2n ** 64n - 1n;
-  const numbers = ['shift', 'tally', 'fence', 'warning_s'].map((name) => `"${name}":${longest}`);
-  const names = {
-    host: 'm-000231',
-    addr: '10.1.0.232:9000',
-    flavour: 'g8',
-    hall: 'a',
-    spare: false,
-  };
-  const text = `${JSON.stringify({ ...names, batch }).slice(0, -1)},${numbers.join(',')}}`;
-  assert.ok(text.length <= MAX_BODY_BYTES && text.length > MAX_BODY_BYTES - 200, `${text.length}`);
-});
-
-test('commands are taken as long as they fit, and those that belong together all or none', () => {
-  const budget = new CommandBudget();
-  const stop = { op: 'stop' as const, task: 'run-000001/1', attempt: 9, gracePeriod: 0 };
-  const forget = { op: 'forget' as const, task: 'run-000001/1', attempt: 9 };
-  let count = 0;
-  while (budget.takeAll([stop, forget])) count++;
-  const pair = jsonBytes([
-    { verb: 'kill', piece: stop.task, try_no: 9, wind_down_s: 0 },
-    { verb: 'forget', piece: stop.task, try_no: 9 },
-  ]);
-  // Of the two brackets and one comma of the pair, each command counts a comma.
-  assert.equal(count, Math.floor((MAX_BODY_BYTES - 70) / (pair - 1)));
-  assert.equal(budget.take(stop), true, 'nothing of the pair that did not fit was taken');
-});
-
 // Guards against machines that are rented for fewer, or taken for more tasks than they can report.
 test('machines are rented for as many tasks as their heartbeats can name', () => {
   const spec = smallJob();
--- a/packages/testing/src/unit/peer-message-size.test.ts
+++ b/packages/testing/src/unit/peer-message-size.test.ts
@@ -25,14 +25,11 @@
   const hints = received(hintsOf(4000, 100));
   assert.ok(hints.kind === 'hints' && hints.machines.length > 1000);
   assert.equal(hints.images.length, 100);
+  assert.deepEqual(received(hintsOf(1000, 20)), hintsOf(1000, 20));
   const many = received(hintsOf(1, 100_000));
   assert.ok(many.kind === 'hints' && many.machines.length === 0 && many.fetchSharing === 0.5);
 });
 
-test('a message that fits into a frame is sent as it is', () => {
-  assert.deepEqual(received(hintsOf(1000, 20)), hintsOf(1000, 20));
-});
-
 test('counts of jobs with long ids reach the peers, as far as they fit', () => {
   const jobs = numbers(4000).map((i) => ({
     id: `run-${String(i).padStart(60, '0')}`,
