Ends of jobs are cut into transactions by all limits, and a refusal for good is split

Cause: ends were gathered by the number of writes and not by bytes; six ends of 12 KB each exceed the 64 KiB of a transaction, which was refused and sent again unchanged, and later ends waited behind it. Class: a limit that one builder of transactions knows and another doesn't; a refusal for good handled as a passing one. Change: TransactionBudget knows all limits (writes, conditions, bytes in the JSON form). A refusal with 400 is told apart: the next transaction has half as many ends, and a single end that is refused is logged and set aside for 30 s.

--- a/packages/controller/src/jobs/liveness-proofs.ts
+++ b/packages/controller/src/jobs/liveness-proofs.ts
@@ -4,13 +4,12 @@
 import type { Runtime } from '../runtime/runtime.js';
 import { specKey } from '../state/keys.js';
 import type { StateStore } from '../state/state-store.js';
+import { PRECONDITIONS_PER_WRITE_COUNT } from '../state/transaction-budget.js';
 
 /** Requests that arrive within this time share a transaction. */
 const BATCH_DELAY_MS: Duration = 40;
 /** Below the 2 s after which users give up a poll. */
 const COMPARE_TIMEOUT_MS: Duration = 1200;
-/** A transaction may have this many preconditions for each write that it may have. */
-const PRECONDITIONS_PER_WRITE_COUNT = 4;
 const MAX_TRACKED_JOB_COUNT = 5000;
 
 /**
--- a/packages/controller/src/state/sharded-table.ts
+++ b/packages/controller/src/state/sharded-table.ts
@@ -196,7 +196,7 @@
     }
     for (const shard of batch.shards) {
       if (shard.unsavedChanges !== 'urgent') shard.unsavedChanges = batch.changes;
-      if (commit.kind !== 'refused') shard.version = null;
+      if (commit.kind !== 'refused' && commit.kind !== 'invalid') shard.version = null;
     }
     this.scheduleFlush(COMMIT_RETRY_DELAY_MS);
   }
--- a/packages/controller/src/state/state-results.ts
+++ b/packages/controller/src/state/state-results.ts
@@ -15,14 +15,16 @@
 
 /**
  * Result of a transaction. `conflict`: a precondition did not hold. `no_lease`: the lease of a
- * write has ended. `refused`: surely not executed, for another reason. `unknown`: it may have been
- * executed, or may still be.
+ * write has ended. `refused`: surely not executed, for another reason. `invalid`: not executed, and it
+ * will not be if it is sent again, for example because it exceeds a limit. `unknown`: it may have
+ * been executed, or may still be.
  */
 export type CompareAndSwapResult =
   | { kind: 'ok'; revision: number }
   | { kind: 'conflict' }
   | { kind: 'no_lease' }
   | { kind: 'refused' }
+  | { kind: 'invalid' }
   | { kind: 'unknown' };
 
 /**
--- a/packages/controller/src/state/state-store.ts
+++ b/packages/controller/src/state/state-store.ts
@@ -199,6 +199,7 @@
   if (result.status === 409) return { kind: 'conflict' };
   if (result.status === 400 && /lease/.test(JSON.stringify(result.body)))
     return { kind: 'no_lease' };
+  if (result.status === 400) return { kind: 'invalid' };
   if (result.status !== 200) return { kind: 'refused' };
   const revision = parseOrNull(() => parseCommitRevision(result.body));
   return revision === null ? { kind: 'unknown' } : { kind: 'ok', revision };
--- a/packages/controller/src/term/job-completion.ts
+++ b/packages/controller/src/term/job-completion.ts
@@ -8,6 +8,7 @@
 import { PRIORITY } from '../runtime/ports.js';
 import type { Runtime } from '../runtime/runtime.js';
 import type { StateStore } from '../state/state-store.js';
+import { TransactionBudget } from '../state/transaction-budget.js';
 import { endedValue, readEnded, type EndedValue } from '../state/stored-values.js';
 import type { LiveJobs } from './live-jobs.js';
 import type { StrayKeys } from './stray-keys.js';
@@ -17,8 +18,8 @@
 const FLUSH_INTERVAL_MS = 250;
 /** Interval at which progress of unfinished jobs is queued; one write holds that of many jobs. */
 const PROGRESS_INTERVAL_MS = 1000;
-/** The end of a job writes its ended key and removes its live key. */
-const END_WRITE_COUNT = 2;
+/** Ends that the state service refused as invalid are tried again after this time. */
+const INVALID_END_RETRY_MS = 30_000;
 
 /** The part of a term that job completion needs. */
 export interface CompletionTerm extends TermStatus {
@@ -44,6 +45,10 @@
   private commitInFlight = false;
   /** Jobs whose tasks are all done, in the order in which this term found them complete. */
   private readonly completedJobs = new Set<LiveJob>();
+  /** Most ends in one transaction; lowered when the state service refuses one as invalid. */
+  private maxEndCount = Infinity;
+  /** Jobs whose end was refused as invalid on its own; they must not hold up the others. */
+  private readonly setAside = new Set<string>();
 
   constructor(
     private readonly runtime: Runtime,
@@ -78,7 +83,9 @@
     this.state.compareAndSwap(preconditions, writes, PRIORITY.leader, (committed) => {
       this.commitInFlight = false;
       if (committed.kind === 'conflict') this.applyStoredEnds(batch);
+      if (committed.kind === 'invalid') this.handleInvalid(batch);
       if (committed.kind !== 'ok') return;
+      this.maxEndCount = Infinity;
       for (const { job, value } of batch) {
         this.applyEnd(job, { ...value, revision: committed.revision });
       }
@@ -89,11 +96,33 @@
 
   /** The next ends of jobs, at most as many as fit into one transaction. */
   private nextBatch(): JobEndCommit[] {
-    const { maxTransactionWrites } = this.runtime.settings.state;
-    const maxEndCount = Math.floor(maxTransactionWrites / END_WRITE_COUNT);
-    return this.jobsToEnd()
-      .slice(0, maxEndCount)
-      .map((job) => this.commitFor(job));
+    const budget = new TransactionBudget(this.runtime.settings.state);
+    budget.take([this.leadership.leaderPrecondition()], []);
+    const batch: JobEndCommit[] = [];
+    for (const job of this.jobsToEnd()) {
+      if (this.setAside.has(job.id)) continue;
+      const commit = this.commitFor(job);
+      if (batch.length >= this.maxEndCount || !budget.take([commit.precondition], commit.writes))
+        break;
+      batch.push(commit);
+    }
+    return batch;
+  }
+
+  /**
+   * Handles a transaction that would be refused each time: the next one has half as many ends. A
+   * single end is set aside for a while.
+   */
+  private handleInvalid(batch: JobEndCommit[]): void {
+    const jobs = batch.map(({ job }) => job.id);
+    this.runtime.stats.count('ends.invalid');
+    this.runtime.log('error', { jobs }, 'ends of jobs refused as invalid');
+    this.maxEndCount = Math.max(1, Math.floor(batch.length / 2));
+    if (jobs.length > 1) return;
+    for (const job of jobs) {
+      this.setAside.add(job);
+      this.runtime.after(INVALID_END_RETRY_MS, () => this.setAside.delete(job));
+    }
   }
 
   /**
