All machine types are stored, and a node that may not know them all answers 503

Cause: the leader stored as many types as one transaction may write, and a controller took what was stored for the whole catalog. Class: a part that was read is taken for all. Change: the types are stored in as many transactions as they need, each with the fingerprint and size of its catalog; only a catalog that is stored whole lets a node refuse a job for good.

--- a/packages/controller/src/machines/catalog.ts
+++ b/packages/controller/src/machines/catalog.ts
@@ -1,12 +1,19 @@
 /** Catalog of the machine types that the cloud offers. */
-import { CATALOG_PATH, parseCatalog, type Duration, type MachineType } from '@tealdock/wire';
+import {
+  CATALOG_PATH,
+  parseCatalog,
+  type Duration,
+  type MachineType,
+  type Write,
+} from '@tealdock/wire';
 import type { Leadership } from '../leadership/leadership.js';
 import { parseResponse } from '../runtime/call-results.js';
 import { PRIORITY } from '../runtime/ports.js';
 import type { Runtime } from '../runtime/runtime.js';
 import { CATALOG_PREFIX, typeKey } from '../state/keys.js';
 import type { StateStore } from '../state/state-store.js';
-import { readMachineType } from '../state/stored-values.js';
+import { readMachineType, type StoredMachineType } from '../state/stored-values.js';
+import { TransactionBudget } from '../state/transaction-budget.js';
 
 const REFRESH_INTERVAL_MS: Duration = 30_000;
 const RETRY_DELAY_MS: Duration = 2000;
@@ -18,6 +25,7 @@
  */
 export class Catalog {
   private currentTypes: MachineType[] = [];
+  private areAllTypesKnown = false;
   /** Fingerprint of the types that this node has stored as leader; empty before the first time. */
   private storedFingerprint = '';
 
@@ -32,6 +40,11 @@
     return this.currentTypes.length > 0;
   }
 
+  /** False while there may be types that this node does not know, so that it can refuse no job. */
+  get isComplete(): boolean {
+    return this.areAllTypesKnown;
+  }
+
   /** Empty until the catalog is loaded. */
   get types(): MachineType[] {
     return this.currentTypes;
@@ -63,18 +76,29 @@
 
   private update(types: MachineType[]): void {
     this.currentTypes = types;
+    this.areAllTypesKnown = true;
     if (!this.leadership.validLease()) return;
     const fingerprint = fingerprintOf(types);
     if (fingerprint !== this.storedFingerprint) this.store(types, fingerprint);
   }
 
-  /** Stores the types, up to the number that one transaction may write. */
-  private store(types: MachineType[], fingerprint: string): void {
-    const limit = this.runtime.settings.state.maxTransactionWrites;
-    const writes = types.slice(0, limit).map((type) => ({ put: typeKey(type.name), value: type }));
+  /** Stores the types that follow the first `storedCount`, in as many transactions as they need. */
+  private store(types: MachineType[], fingerprint: string, storedCount = 0): void {
+    const budget = new TransactionBudget(this.runtime.settings.state);
     const preconditions = [this.leadership.leaderPrecondition()];
+    budget.take(preconditions, []);
+    const writes: Write[] = [];
+    for (const type of types.slice(storedCount)) {
+      const value = { ...type, catalog: { fingerprint, typeCount: types.length } };
+      const write: Write = { put: typeKey(type.name), value };
+      if (!budget.take([], [write])) break;
+      writes.push(write);
+    }
     this.state.compareAndSwap(preconditions, writes, PRIORITY.background, (commit) => {
-      if (commit.kind === 'ok') this.storedFingerprint = fingerprint;
+      if (commit.kind !== 'ok' || !this.leadership.validLease()) return;
+      const count = storedCount + writes.length;
+      if (count === types.length) this.storedFingerprint = fingerprint;
+      else if (writes.length > 0) this.store(types, fingerprint, count);
     });
   }
 
@@ -83,9 +107,9 @@
       if (this.isLoaded) return;
       if (read.kind === 'failed' || read.items.length === 0)
         return this.runtime.after(RETRY_DELAY_MS, () => this.readStored());
-      this.currentTypes = read.items.flatMap(
-        (item) => this.state.decode(item, readMachineType) ?? [],
-      );
+      const types = read.items.flatMap((item) => this.state.decode(item, readMachineType) ?? []);
+      this.currentTypes = types;
+      this.areAllTypesKnown = containsWholeCatalog(types);
     });
   }
 }
@@ -97,3 +121,11 @@
 function fingerprintOf(types: MachineType[]): string {
   return types.map((t) => `${t.name}:${t.cpus}:${t.memoryGb}:${t.zones.join()}`).join();
 }
+
+/** Whether some catalog is stored whole: a leader may have ended before it had stored all types. */
+function containsWholeCatalog(types: StoredMachineType[]): boolean {
+  return types.some(({ catalog }) => {
+    const stored = types.filter((type) => type.catalog?.fingerprint === catalog?.fingerprint);
+    return catalog !== undefined && stored.length === catalog.typeCount;
+  });
+}
--- a/packages/controller/src/requests/submissions.ts
+++ b/packages/controller/src/requests/submissions.ts
@@ -57,8 +57,11 @@
   private refusalOf(spec: JobSpec): Reply | null {
     if (!this.catalog.isLoaded) return unavailableReply();
     const { teams, state } = this.runtime.settings;
-    const problem =
-      infeasibilityReason(spec, teams, this.catalog.types) ?? predecessorProblem(spec);
+    const { types, isComplete } = this.catalog;
+    const infeasibility = infeasibilityReason(spec, teams, types);
+    // A type that is not known yet may hold the tasks; a refusal would be final.
+    if (infeasibility !== null && !isComplete) return unavailableReply();
+    const problem = infeasibility ?? predecessorProblem(spec);
     if (problem !== null) return errorReply(422, problem);
     if (!fitsValue(spec, state.maxValueBytes)) return errorReply(400, sizeProblem(spec));
     return null;
--- a/packages/controller/src/state/stored-values.ts
+++ b/packages/controller/src/state/stored-values.ts
@@ -105,15 +105,24 @@
   return typeof last === 'string' ? { last } : null;
 }
 
+/** A machine type as it is stored. */
+export interface StoredMachineType extends MachineType {
+  /**
+   * The catalog that the type belongs to: its fingerprint and number of types. Without it, as older
+   * versions wrote them, nothing tells whether all types of the catalog are stored.
+   */
+  catalog?: { fingerprint: string; typeCount: number };
+}
+
 /** Validates a stored machine type; null if it is malformed. */
-export function readMachineType(stored: unknown): MachineType | null {
+export function readMachineType(stored: unknown): StoredMachineType | null {
   const value = fieldsOf(stored);
   const isValid =
     typeof value?.['name'] === 'string' &&
     typeof value['cpus'] === 'number' &&
     typeof value['memoryGb'] === 'number' &&
     Array.isArray(value['zones']);
-  return isValid ? (stored as MachineType) : null;
+  return isValid ? (stored as StoredMachineType) : null;
 }
 
 /** Entries of a stored shard by id, themselves not validated; null if the shard is malformed. */
--- a/packages/testing/src/fakes/fake-cloud.ts
+++ b/packages/testing/src/fakes/fake-cloud.ts
@@ -36,6 +36,8 @@
   readonly rentedIds: string[] = [];
   /** Rental requests received, including repeated and refused ones. */
   rentalRequestCount = 0;
+  /** Types in the catalog beside `MACHINE_TYPE`. */
+  furtherTypes: (typeof MACHINE_TYPE)[] = [];
   /** During an outage every request is answered with 503. */
   down = false;
   /** Machine ids by idempotency key, so that a repeated request rents nothing more. */
@@ -72,7 +74,7 @@
   /** Answers a request of a controller. */
   handle(path: string, body: unknown): CallResult {
     if (this.down) return answer(503, { error: 'trouble' });
-    if (path === '/catalog') return answer(200, { flavours: [MACHINE_TYPE] });
+    if (path === '/catalog') return answer(200, { flavours: [MACHINE_TYPE, ...this.furtherTypes] });
     if (path === '/machines/return') {
       for (const id of (body as { hosts: string[] }).hosts) this.removeMachine(id);
       return answer(200, {});
