Resources of an empty machine are computed once for each type and zone

Cause: since the heartbeat's bytes are among them, each took 0.64 us, and placement asks for those of every holder of an image for each waiting job. Change: kept by type and zone; sizes of entries are constants.

--- a/packages/scheduler/src/resources.ts
+++ b/packages/scheduler/src/resources.ts
@@ -36,13 +36,19 @@
   heartbeatBytes: maxEntryBytesOfJob(spec),
 });
 
+/** Results of `machineResources` by type and zone, since placement asks for them all the time. */
+const resourcesByZone = new WeakMap<MachineType, Map<string, Resources>>();
+
 /** Resources of a machine without tasks, of this type and in this zone. */
-export const machineResources = (type: MachineType, zone: string): Resources => ({
-  cpus: type.cpus,
-  gpus: type.gpus,
-  memoryGb: type.memoryGb,
-  heartbeatBytes: taskBytesOfNewMachine(type.name, zone),
-});
+export function machineResources(type: MachineType, zone: string): Resources {
+  const byZone = resourcesByZone.get(type) ?? new Map<string, Resources>();
+  const known = byZone.get(zone);
+  if (known) return known;
+  const { name, cpus, gpus, memoryGb } = type;
+  const resources = { cpus, gpus, memoryGb, heartbeatBytes: taskBytesOfNewMachine(name, zone) };
+  resourcesByZone.set(type, byZone.set(zone, resources));
+  return resources;
+}
 
 /** Whether the requested resources fit into the free ones. */
 export const fits = (requested: Resources, free: Resources): boolean =>
--- a/packages/wire/src/heartbeat-size.ts
+++ b/packages/wire/src/heartbeat-size.ts
@@ -11,6 +11,8 @@
 
 /** A comma, which separates two elements of a list. */
 const SEPARATOR_BYTES = 1;
+/** The quotes around a text. */
+const QUOTES_BYTES = '""'.length;
 /** Counts are integers below 2^64, and a duration has at most as many characters. */
 const LONGEST_NUMBER = '18446744073709551615';
 /** The largest attempt number that this program can assign. */
@@ -48,16 +50,19 @@
   return length - '0'.length + SEPARATOR_BYTES;
 }
 
-const REMAINDER_BYTES = [false, true].map((isGang) =>
-  [false, true].map((mayBeSaved) => longestRemainder({ isGang, mayBeSaved })),
-);
+const PLAIN_BYTES = longestRemainder({ isGang: false, mayBeSaved: false });
+const SAVED_BYTES = longestRemainder({ isGang: false, mayBeSaved: true });
+const GANG_BYTES = longestRemainder({ isGang: true, mayBeSaved: false });
+const SAVED_GANG_BYTES = longestRemainder({ isGang: true, mayBeSaved: true });
 
-const remainderBytes = ({ isGang, mayBeSaved }: TaskEntryForm): number =>
-  REMAINDER_BYTES[Number(isGang)]?.[Number(mayBeSaved)] ?? longestRemainder(LONGEST_ENTRY_FORM);
+function remainderBytes({ isGang, mayBeSaved }: TaskEntryForm): number {
+  if (isGang) return mayBeSaved ? SAVED_GANG_BYTES : GANG_BYTES;
+  return mayBeSaved ? SAVED_BYTES : PLAIN_BYTES;
+}
 
 /** The most bytes that a task may ever take in its machine's heartbeats, until it is forgotten. */
 export function maxTaskEntryBytes(task: string, attempt: number, form: TaskEntryForm): number {
-  const taskBytes = jsonBytes(task) - '""'.length;
+  const taskBytes = jsonBytes(task) - QUOTES_BYTES;
   return taskBytes + String(attempt).length + remainderBytes(form);
 }
 
@@ -79,8 +84,9 @@
   ...['shift', 'tally', 'fence', 'warning_s'].map((name) => `,"${name}":${LONGEST_NUMBER}`),
   '}',
 ].join('').length;
-const LONGEST_MACHINE = 'm'.repeat(MAX_MACHINE_ID_LENGTH);
-const LONGEST_ADDRESS = 'a'.repeat(MAX_ADDRESS_LENGTH);
+/** As a header with the longest machine id and address, but without type and zone. */
+const LONGEST_HEADER_BYTES =
+  NAMELESS_HEADER_BYTES + MAX_MACHINE_ID_LENGTH + MAX_ADDRESS_LENGTH + 2 * QUOTES_BYTES;
 
 const headerBytes = ({ machine, address, type, zone }: MachineNames): number =>
   [machine, address, type, zone].reduce(
@@ -90,7 +96,7 @@
 
 /** Bytes that entries of tasks may take in the heartbeats of a machine of this type and zone. */
 export const taskBytesOfNewMachine = (type: string, zone: string): number =>
-  MAX_BODY_BYTES - headerBytes({ machine: LONGEST_MACHINE, address: LONGEST_ADDRESS, type, zone });
+  MAX_BODY_BYTES - LONGEST_HEADER_BYTES - jsonBytes(type) - jsonBytes(zone);
 
 /** Bytes that tasks which have not exited may take in the machine's next heartbeats. */
 export function taskBytesBesideExited(heartbeat: WorkerHeartbeat): number {
